--- /dev/null
+++ b/shuntlead/logic.py
@@ -0,0 +1,520 @@
+"""Every decision of the balancer. Its types, events and actions: shuntlead/interface.py.
+
+The ordinary path (docs/design.md): w_i = (L_i + 1) * x_i for each eligible endpoint i, and one random
+draw with odds 1 / w_i. First attempts and retries use that same draw; a request has one attempt at a time.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from heapq import nlargest
+from math import exp2, sqrt
+from random import Random
+from typing import Any
+
+from shuntlead import interface as api
+from shuntlead.interface import NEVER_RAN, Effect, EndpointState, RosterForm, Status
+
+ALPHA = 0.3  # weight of a new response time: the paper finds one sample enough, so a short memory
+FAIL_ALPHA = 0.6  # the same of a failure: rarer than answers, and worth more
+KIND_ALPHA = 0.1  # a kind's mean moves over some 10 answers: it stands for endpoints unheard of
+CLASS_ALPHA = 0.02  # a class's usual time moves over some 50 answers: slower than any endpoint's
+MAX_SLOWDOWN = 50.0  # bound on one sample, in usual response times: one stall must not starve for ever
+FEWEST = 12  # endpoints in a sidecar's draw, however little it sends: some of each zone and kind
+CLASS_MEMORY = 8  # an endpoint's answers in one class are rarer, and remembered that much longer
+PEERS = 4  # told the waits at a time, the first also of endpoints: one sidecar's waits are mostly chance
+PRICE_WAIT = 20.0  # a price of a whole request's worth weighs like waiting this many targets
+WARM_KEY = 0.6  # odds of the endpoint likely to have met a key, against those of all others together
+COLD_SHARE = 0.6  # part of the cold allowance planned for: traffic is uneven, estimates are rough
+RETRY_SHARE, RETRY_BURST = 0.2, 50.0  # re-sends per first attempt, and how many may be saved up
+PATIENCE = 4.0  # usual times that an attempt may take before another: lost answers against waste
+AMPLE = 3.0  # usual times that must then be left: a further attempt with less is no better than waiting on
+CALM, ROOM = 0.5, 0.25  # share of the target that answers may take; part of what idle ones leave of it
+STRAIN_ALPHA, STEEP = 0.3, 0.6  # waits are learned fast, and refused in full well before all is late
+MOST_STRAIN = 0.95  # some requests go out whatever the waits, or nothing would be learned
+CHANCE = 4.0  # open requests a short memory may easily have missed
+EXCESS_ROOM, SHARE_SLACK = 0.5, 1.5  # room for a tenant beyond its share; usage differs by that much anyhow
+MAX_VOTES = 100  # lead of a majority that tells the usual length of a client's try
+IDLE_DRIFT = 1e-4  # growth per answer of the least time known: doubles in some 7000 answers
+HOLD_TRIES = 20  # a request with no eligible endpoint looks again this often within its target
+MAX_TIMER_NS = 3_600_000_000_000  # an hour: longer waits are never meant, and the wire bounds them
+
+
+class Rate:  # amounts per ns, with a memory that halves each half_ns
+    __slots__ = ("at", "half_ns", "value")
+
+    def __init__(self, half_ns: int) -> None:
+        self.half_ns, self.value, self.at = max(half_ns, 1), 0.0, 0
+
+    def read(self, now: int) -> float:
+        if now != self.at:
+            self.value, self.at = self.value * exp2((self.at - now) / self.half_ns), now
+        return self.value
+
+    def add(self, now: int, amount: float = 1.0) -> None:
+        self.value = self.read(now) + amount * 0.693 / self.half_ns  # ln 2: a steady rate reads as itself
+
+
+class Endpoint:
+    __slots__ = ("row", "id", "zone", "weight", "ready", "out", "slow", "slow_at", "by_class",
+                 "queue", "queue_at", "since", "warm_at", "ramp")  # fmt: skip
+
+    def __init__(self, row: api.Listed, settings: api.Settings) -> None:
+        self.out: dict[tuple[int, int], Attempt] = {}  # by request and number
+        self.slow = 1.0  # x_i: response times over what their requests usually take
+        self.by_class: dict[int, tuple[float, int]] = {}  # the same of one class, and when
+        self.queue = 0.0
+        self.slow_at = self.queue_at = self.since = 0  # since: own sends since the last report
+        self.warm_at = row.started_ns + settings.cold_ns if row.started_ns else 0
+        self.ramp = 1.0  # part of its capacity that it is sure to have, while it is cold
+        self.update(row)
+
+    def update(self, row: api.Listed) -> None:
+        self.row, self.id, self.zone = row, row.endpoint, row.zone
+        self.weight = row.weight if 0 < row.weight < 1e9 else 1.0
+        self.ready = row.state == EndpointState.READY
+
+
+class Attempt:
+    __slots__ = ("endpoint", "may_have_run", "open", "sent", "usual")
+
+    def __init__(self, endpoint: Endpoint, sent: int, usual: float) -> None:
+        self.endpoint, self.sent, self.usual = endpoint, sent, usual
+        self.open = self.may_have_run = True
+
+
+class Pending:  # a request from its arrival until its last attempt has ended
+    __slots__ = ("aim", "attempts", "cls", "done", "event", "give_up", "id", "key", "limit", "streaming")
+
+    def __init__(self, event: api.Request, cls: api.RequestClass, now: int, waited: int) -> None:
+        self.id, self.event, self.cls = event.request, event, cls
+        target = cls.target_ns + int(cls.aim_stretch * (event.hint_ns or 0))
+        self.give_up, self.aim = now + event.left_ns, now + min(target - waited, event.left_ns)
+        self.limit = self.give_up if cls.late_worth else self.aim  # an answer past it is worth nothing
+        self.key = event.key if cls.in_order else 0  # not 0: it takes turns with others of the key
+        self.attempts: list[Attempt] = []
+        self.done = self.streaming = False
+
+    def risky(self) -> list[Attempt]:
+        return [a for a in self.attempts if a.may_have_run]
+
+    def waits(self) -> bool:
+        return bool(self.attempts) and self.attempts[-1].open
+
+
+class Balancer:
+    """One sidecar's decisions: call handle() with each event, carry out the actions in order."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self.settings, self.random = settings, Random(seed)
+        self.now, self.started, self.salt = 0, 0, self.random.getrandbits(64)
+        self.actions: list[api.Action] = []
+        self.handlers: dict[type, Callable[[Any], None]] = {
+            api.Request: self._on_request, api.Outcome: self._on_outcome, api.Roster: self._on_roster,
+            api.Timer: self._on_timer, api.ClientGone: self._on_client, api.FirstByte: self._on_client,
+            api.PeerMessage: self._on_peer, api.ProbeResult: self._on_report}  # fmt: skip
+        self.logged: dict[str, int] = {}  # topic -> when it may be logged again
+        self.endpoints: dict[int, Endpoint] = {}
+        self.ready: list[Endpoint] = []  # those of the endpoints that may be sent to
+        self.pending: dict[int, Pending] = {}
+        self.turns: dict[int, list[Pending]] = {}  # by key, in the order taken
+        self.rests: dict[int, int] = {}  # key -> until when, the first to end first
+        self.woken: list[Pending] = []  # their turn has come
+        self.timers: dict[int, tuple[str, int]] = {}  # token -> what for, request
+        self.next_token = self.open = 0  # open: requests not yet answered
+        classes = settings.classes
+        self.forget_ns = max(c.deadline_ns for c in classes)  # half-life of what is known of an endpoint
+        self.tightest_ns = min(c.target_ns for c in classes)
+        self.calm = CALM + (1 - CALM) * min(c.late_worth for c in classes)  # late is no total loss
+        self.usual_left = [(0, 0)] * len(classes)
+        self.class_ns = [c.target_ns / 4 for c in classes]  # usual response time, learned
+        self.class_seen, self.hint_mean = [0] * len(classes), [0.0] * len(classes)
+        self.tenant_rates = [Rate(self.forget_ns) for _ in settings.tenants]
+        self.asked = Rate(4 * self.forget_ns)  # a small sidecar's rate over less is mere chance
+        self.usual_share = self.idle = 0.0  # share of the target that answers take, and its least
+        self.answered = Rate(self.tightest_ns)
+        self.strain, self.strain_at, self.told_at = 0.0, 0, 0  # strain: as usual_share, of late, all attempts
+        self.work, self.offered = Rate(settings.fall_ns), Rate(settings.fall_ns)  # answered, sent
+        figures = [*settings.report_columns, "queue", "inflight"]  # past the end: not reported
+        self.load_column = figures.index("queue" if "queue" in settings.report_columns else "inflight")
+        self.retry_tokens = RETRY_BURST / 5
+        self.mean_queue, self.mean_weight = 0.0, 1.0
+        self.kind_slow: dict[tuple[int, int], float] = {}  # mean x_i of a kind of machine in a zone
+
+    def handle(self, now: int, event: api.Event) -> list[api.Action]:
+        self.now, self.actions = now, []
+        self.handlers[type(event)](event)
+        while self.woken:  # a loop: each may end and wake the next
+            self._attempt(self.woken.pop())
+        return self.actions
+
+    def _on_roster(self, roster: api.Roster) -> None:
+        if roster.form is RosterForm.FAILED:
+            # Danger: an unsubscribed sidecar is held to lists it never saw. Ask again, in good time.
+            self._log("discovery", f"a call failed, {len(self.ready)} endpoints of the last list in use")
+            self._set_timer("ask", int(self.settings.ask_within_ns * self.random.uniform(0.1, 0.4)))
+            return
+        if roster.form is not RosterForm.DELTA:
+            listed = {row.endpoint for row in roster.entries}
+            self.endpoints = {n: e for n, e in self.endpoints.items() if n in listed}
+        for row in roster.entries:
+            known = self.endpoints.pop(row.endpoint, None)
+            if row.state != EndpointState.GONE:
+                # The same id with a new start is a new process: cold, and what was learned is void.
+                same = known if known and known.row.started_ns == row.started_ns else None
+                self.endpoints[row.endpoint] = same or Endpoint(row, self.settings)
+                self.endpoints[row.endpoint].update(row)
+        self.ready = [e for e in self.endpoints.values() if e.ready]
+        # Danger: hundreds of sidecars with a connection to every endpoint fill its table. Each has an order.
+        self.ready.sort(key=lambda e: _mix(self.salt, e.id))
+        self.mean_weight = sum(e.weight for e in self.ready) / max(1, len(self.ready)) or 1.0
+        if not self.started:
+            self.started = self.now
+            if self.settings.discovery == "ask":
+                self.actions.append(api.Watch(True))
+            if self.settings.report_how == "pull" and self.settings.may_probe:
+                self._set_timer("probe", self.forget_ns // 10)
+
+    def _on_report(self, event: api.Outcome | api.ProbeResult) -> None:
+        e, load = self.endpoints.get(event.endpoint), event.load
+        value = load[self.load_column] if self.load_column < len(load) else -1.0
+        if e and 0 <= value < 1e9:  # not for nan, inf or nonsense
+            e.queue, e.queue_at, e.since = value, self.now, 0
+            self.mean_queue += ALPHA * (value - self.mean_queue)
+
+    def _tell_peer(self) -> None:
+        """Danger: one of many sidecars hears too little of any endpoint by itself."""
+        s = self.settings
+        if not s.may_message or s.fleet_size < 2 or self.now - self.told_at < self.tightest_ns:
+            return
+        self.told_at = self.now
+        peers = [(s.self_index + self.random.randrange(1, s.fleet_size)) % s.fleet_size for _ in range(PEERS)]
+        fresh = nlargest(api.MAX_SIGHTINGS, self.ready, key=lambda e: e.slow_at)
+        seen = [api.Sighting(e.id, e.slow, e.queue, self.now - e.slow_at) for e in fresh if e.slow_at]
+        self.actions.append(api.Tell(peers[0], self._strain(), tuple(seen)))
+        self.actions.extend(api.Tell(peer, self._strain()) for peer in peers[1:])  # a byte each
+
+    def _on_peer(self, message: api.PeerMessage) -> None:
+        """What a peer saw later than this sidecar takes the place of what it knew."""
+        self._strain(max(0.0, min(1.0, message.strain)), 0.5)
+        for seen in message.sightings:
+            e, at = self.endpoints.get(seen.endpoint), self.now - max(0, seen.age_ns)
+            if e and at > max(e.slow_at, e.row.started_ns) and 0 < seen.slow < 1e9:
+                self._learn(e, min(seen.slow, MAX_SLOWDOWN), at)
+            if e and at > max(e.queue_at, e.row.started_ns) and 0 <= seen.queue < 1e9:
+                e.queue, e.queue_at, e.since = seen.queue, at, 0
+
+    def _draw(self, req: Pending, candidates: list[Endpoint], usual: float) -> Endpoint | None:
+        """The design's rule: odds inverse to w_i = (L_i + 1) * x_i, raised by what the settings price."""
+        s = self.settings
+        took = usual * max(1.0, sum(self.kind_slow.values()) / max(1, len(self.kind_slow)))  # of late
+        away = 1 + s.price_cross_zone * PRICE_WAIT * req.cls.target_ns / took
+        warm, gather = self._warm(req.event.key, candidates), max(1.0, WARM_KEY * len(candidates))
+        odds, cold = [], False
+        for e in candidates:
+            w = (self._load(e) + 1) * self._slowdown(e, req.event.cls)
+            if self.now < e.warm_at:  # the slowest ramp that is guaranteed
+                age = max(0, self.now - e.row.started_ns)
+                e.ramp = s.start_capacity + (1 - s.start_capacity) * age / s.cold_ns
+                w /= e.ramp
+                cold = True
+            if e.zone != s.zone:
+                w *= away
+            odds.append(1 / max(w / gather if e is warm else w, 1e-9))
+        nowhere = self._cap_cold(candidates, odds) if cold else 0.0
+        return self.random.choices([*candidates, None], [*odds, nowhere])[0]
+
+    def _warm(self, key: int, candidates: list[Endpoint]) -> Endpoint | None:
+        """The endpoint at which all sidecars of a zone gather a key, by highest-random-weight hashing."""
+        if not key or not self.settings.warm_keys:
+            return None
+        near = [e for e in candidates if e.zone == self.settings.zone] or candidates
+        return max(near, key=lambda e: _mix(key, e.id))
+
+    def _load(self, e: Endpoint) -> float:
+        """L_i: the reported queue, faded by age toward the fleet's, and own sends since."""
+        out, fade = len(e.out), exp2((e.queue_at - self.now) / self.forget_ns)
+        queue = self.mean_queue + (e.queue - self.mean_queue) * fade
+        return max(out, queue + min(e.since, out))
+
+    def _slowdown(self, e: Endpoint, cls: int | None = None) -> float:
+        """x_i, fading toward the fleet's mean so that one bad sample cannot starve an endpoint. Danger: one
+        that fails a class and serves the others looks well by its mean: what its class knows comes first."""
+        slow = self._typical(e)
+        slow += (e.slow - slow) * exp2((e.slow_at - self.now) / self.forget_ns) if e.slow_at else 0
+        if cls in e.by_class:
+            own, at = e.by_class[cls]
+            slow += (own - slow) * exp2((at - self.now) / (CLASS_MEMORY * self.forget_ns))
+        if e.out:  # Danger: a stalled endpoint sends no samples. Waiting for it is a sample.
+            oldest = next(iter(e.out.values()))
+            slow = max(slow, min((self.now - oldest.sent) / oldest.usual, MAX_SLOWDOWN))
+        return slow
+
+    def _typical(self, e: Endpoint) -> float:
+        """Danger: of many endpoints most are unheard of, and a slow kind would take a fast one's odds."""
+        return self.kind_slow.get((e.row.kind, e.zone)) or self.mean_weight / e.weight
+
+    def _eligible(self, req: Pending) -> list[Endpoint]:
+        # The first of this sidecar's own order: as many as it hears of often, as the design assumes.
+        ready = self.ready[: FEWEST + int(self.asked.read(self.now) * self.forget_ns)]
+        risky = req.risky()
+        if risky and req.cls.effect is Effect.BY_KEY:
+            # Danger: outside the group, or past its memory, a repeat is a second effect. A copy may need
+            # a connection's time-out and some batches to arrive.
+            s, first = self.settings, risky[0].endpoint.row
+            travel = s.connect_timeout_ns + 4 * s.resolution_ns + s.answer_slack_ns
+            if self.now + travel >= risky[0].sent + req.cls.dedup_window_ns:
+                return []
+            if req.cls.dedup_scope == "zone":
+                ready = [e for e in ready if e.zone == first.zone]
+            elif req.cls.dedup_scope != "all":
+                ready = [e for e in ready if e.row.cell == first.cell]
+        tried = {a.endpoint.id for a in req.attempts}
+        return ([e for e in ready if e.id not in tried] or ready) if tried else ready
+
+    def _cap_cold(self, candidates: list[Endpoint], odds: list[float]) -> float:
+        """Danger: a cold endpoint sent too much falls over and stays down. Its share of a sidecar's draws is
+        capped at a multiple of the part that it would bear were all alike, so the fleet's sum is capped too,
+        however little each sends. A share of what is answered: sent, it may be any amount. Returns the odds
+        of sending nowhere, where all are cold."""
+        s, total = self.settings, sum(odds)
+        size = sum(e.weight * (e.ramp if self.now < e.warm_at else 1.0) for e in candidates) or 1.0
+        sound = min(1.0, self.work.read(self.now) / (self.offered.read(self.now) or 1.0))
+        part, over, warm = total * COLD_SHARE * s.fall_multiple * sound / size, 0.0, []
+        for n, e in enumerate(candidates):
+            if self.now >= e.warm_at:
+                warm.append(n)
+            elif (excess := odds[n] - part * e.weight * e.ramp) > 0:
+                over, odds[n] = over + excess, odds[n] - excess
+        scale = 1 + over / (sum(odds[n] for n in warm) or 1.0)
+        for n in warm:
+            odds[n] *= scale  # so that the caps are shares of what is drawn
+        return 0.0 if warm else over
+
+    def _on_request(self, event: api.Request) -> None:
+        cls = self.settings.classes[event.cls]
+        req = self.pending[event.request] = Pending(event, cls, self.now, self._waited(event, cls))
+        self.open += 1
+        self.asked.add(self.now)
+        if event.tenant < len(self.tenant_rates):
+            self.tenant_rates[event.tenant].add(self.now)
+        self.retry_tokens = min(RETRY_BURST, self.retry_tokens + RETRY_SHARE)
+        if req.key:
+            self.turns.setdefault(req.key, []).append(req)
+        self._attempt(req)
+
+    def _waited(self, event: api.Request, cls: api.RequestClass) -> int:
+        """How long the client has waited before. A try is given the class's usual time (by majority vote) or
+        all that is left. Danger: in an overload most work would go to retries that cannot be in time."""
+        usual, votes = self.usual_left[event.cls]
+        usual = usual if votes else event.left_ns
+        same = abs(event.left_ns - usual) <= self.settings.resolution_ns
+        self.usual_left[event.cls] = (usual, min(votes + 1, MAX_VOTES) if same else votes - 1)
+        return 0 if same else max(0, cls.deadline_ns - event.left_ns)
+
+    def _usual(self, req: Pending) -> float:
+        """What this request usually takes: its class's usual time, and what its hint adds to the class's."""
+        usual, hint = self.class_ns[req.event.cls], req.event.hint_ns
+        if hint is not None and self.class_seen[req.event.cls]:
+            usual = max(usual + hint - self.hint_mean[req.event.cls], usual / 4)
+        return max(1.0, min(usual, MAX_SLOWDOWN * self.class_ns[req.event.cls]))  # a hint may be any number
+
+    def _attempt(self, req: Pending) -> None:
+        if req.done or req.waits():
+            return  # woken twice: by a timer and by its turn
+        usual = self._usual(req)
+        # Danger: one stuck request holds its key until all behind it are late. They leave while they may.
+        ahead = self.turns[req.key].index(req) if req.key else 0
+        rest = max(0, self.rests.get(req.key, 0) - self.now) if req.key and not req.attempts else 0
+        left = req.limit - self.now - int(ahead * usual) - rest
+        if left <= 0 or not req.attempts and self._too_busy(req):
+            self._end(req)
+        elif ahead or rest:
+            self._set_timer("hold", left if ahead else rest, req)
+        elif (candidates := self._eligible(req)) and (endpoint := self._draw(req, candidates, usual)):
+            self._send(req, endpoint, usual)
+        else:
+            self._log("held", f"none of {len(self.ready)} ready endpoints may be sent to")
+            self._set_timer("hold", min(req.cls.target_ns // HOLD_TRIES, req.give_up - self.now), req)
+
+    def _too_busy(self, req: Pending) -> bool:
+        """Danger: past capacity all queues grow until every answer is late."""
+        age = self.now - self.started
+        if age <= self.tightest_ns:  # a young sidecar has seen too few answers to know their rate
+            return False
+        part = EXCESS_ROOM if self._is_excess(req.event.tenant) else 1.0
+        # Danger: at a sidecar that sends little the room never fills. It refuses by the waits it sees.
+        calm = min(max(self.calm, self.idle + (1 - self.idle) * ROOM), MOST_STRAIN)
+        busy = self.random.random() * part < min((self._strain() - calm) / (1 - calm) / STEEP, MOST_STRAIN)
+        # By Little's law, with more requests open than (answers in time per second) x (time in the system)
+        # the last would wait too long. Beside that, a deviation of chance, and what a short memory hides.
+        rate = self.answered.read(self.now) / (1 - exp2(-age / self.answered.half_ns))
+        room = rate * self.tightest_ns * calm
+        room = (room + sqrt(room) + CHANCE) * part
+        if not busy and self.open > room:  # Danger: what is stuck at a stalled endpoint would fill the room
+            busy = sum(not r.done and self.now < r.aim for r in self.pending.values()) > room
+        if busy:
+            self._log("refusing", f"{self.open} open, room {room:.0f}, waits {self._strain():.0%} of targets")
+        return busy
+
+    def _strain(self, sample: float = 0.0, alpha: float = 0.0) -> float:
+        """Share of their targets that attempts took of late, moved toward a sample; it fades with time."""
+        strain = self.strain * exp2((self.strain_at - self.now) / (4 * self.forget_ns))
+        self.strain, self.strain_at = strain + alpha * (sample - strain), self.now
+        return self.strain
+
+    def _is_excess(self, tenant: int) -> bool:
+        """Whether, by a draw, this falls on what its tenant asks beyond its share. Danger: a flood."""
+        if tenant >= len(self.tenant_rates):
+            return False
+        rates, share = [r.read(self.now) for r in self.tenant_rates], self.settings.tenants[tenant].share
+        others = sum(rates) - rates[tenant]
+        return self.random.random() * rates[tenant] * (1 - share) > others * share * SHARE_SLACK
+
+    def _send(self, req: Pending, endpoint: Endpoint, usual: float) -> None:
+        limit = req.give_up if req.cls.stream else req.limit
+        if early := self._patience(req, usual):
+            limit = self.now + early
+        self.actions.append(api.Send(req.id, endpoint.id, limit - self.now if limit < req.give_up else 0))
+        endpoint.out[req.id, len(req.attempts)] = attempt = Attempt(endpoint, self.now, usual)
+        req.attempts.append(attempt)
+        endpoint.since += 1
+        self.offered.add(self.now, usual)
+
+    def _patience(self, req: Pending, usual: float) -> int:
+        """How long an attempt may take before another is made; 0: as long as there is. Danger: at a silent
+        endpoint, or where answers are lost, it would use up all the time there was to recover in."""
+        early, s = int(PATIENCE * usual), self.settings
+        fits = self.now + early + AMPLE * usual < req.aim and len(req.attempts) + 1 < s.attempts_cap
+        repeats = req.cls.effect is not Effect.ONCE and not req.cls.stream and self.retry_tokens >= 1
+        return early if fits and repeats else 0
+
+    def _may_resend(self, req: Pending) -> bool:
+        """Danger: retries feed an overload, and may repeat an effect. First attempts fill their budget."""
+        harmful = req.cls.effect is Effect.ONCE and req.risky() or req.streaming
+        if harmful or len(req.attempts) >= self.settings.attempts_cap or self.retry_tokens < 1:
+            return False
+        self.retry_tokens -= 1
+        return True
+
+    def _end(self, req: Pending) -> None:
+        """The one final answer: a refusal where a retry is sure to be harmless, else a failure."""
+        harmless = (not req.risky() or req.cls.effect is Effect.REPEATABLE
+                    or req.cls.effect is Effect.BY_KEY and req.cls.dedup_scope == "all")  # fmt: skip
+        self.actions.append(api.Refuse(req.id) if harmless else api.Fail(req.id))
+        self._finish(req)
+
+    def _finish(self, req: Pending) -> None:
+        """Cancel what can no longer help; forget the request once its last attempt has ended."""
+        if not req.done:
+            self.open -= 1
+            if req.waits() and self.settings.may_cancel and not req.streaming:
+                self.actions.append(api.Cancel(req.id, len(req.attempts) - 1))
+        req.done = True
+        if not req.waits() and self.pending.pop(req.id, None) is req and req.key:
+            queue = self.turns[req.key]
+            queue.remove(req)
+            self.woken += queue[:1]
+            if not queue:
+                del self.turns[req.key]
+
+    def _on_client(self, event: api.ClientGone | api.FirstByte) -> None:
+        req = self.pending.get(event.request)
+        if req and not req.done and isinstance(event, api.FirstByte):
+            req.streaming = True
+        elif req and not req.done:
+            self._finish(req)
+
+    def _on_outcome(self, event: api.Outcome) -> None:
+        req = self.pending.get(event.request)
+        attempt = req.attempts[event.attempt] if req and event.attempt < len(req.attempts) else None
+        if req is None or attempt is None or not attempt.open:
+            return
+        attempt.open, attempt.may_have_run = False, event.status not in NEVER_RAN
+        attempt.endpoint.out.pop((req.id, event.attempt), None)
+        if req.key and event.status in (Status.TIMEOUT, Status.RESET, Status.CANCELLED):
+            self._rest(req.key)
+        self._on_report(event)
+        if event.status is Status.OK:
+            self._learn_class(req, event.latency_ns)
+            self.work.add(self.now, attempt.usual)
+        if event.status is not Status.MOOT:
+            self._learn_endpoint(req, attempt, event)
+        if event.finished or req.done:
+            self._finish(req)
+        elif self._may_resend(req):
+            self._attempt(req)
+        else:
+            self._end(req)
+
+    def _rest(self, key: int) -> None:
+        """Danger: what timed out or broke may run on beside the next request of its key."""
+        self.rests.pop(key, None)
+        self.rests[key] = self.now + self.settings.order_settle_ns
+        while next(iter(self.rests.values())) < self.now:
+            del self.rests[next(iter(self.rests))]
+
+    def _learn_class(self, req: Pending, took: int) -> None:
+        if self.now <= req.aim and not req.done:
+            self.answered.add(self.now)
+        cls = req.event.cls
+        self.class_seen[cls] += 1
+        alpha = max(CLASS_ALPHA, 1 / self.class_seen[cls])
+        self.class_ns[cls] += alpha * (took - self.class_ns[cls])
+        seen, share = sum(self.class_seen), min(took / req.cls.target_ns, 1.0)
+        self.usual_share += max(CLASS_ALPHA, 1 / seen) * (share - self.usual_share)
+        least = self.idle * (1 + IDLE_DRIFT) if seen * CLASS_ALPHA >= 1 else 1.0
+        self.idle = min(least, self.usual_share)  # Danger: idle answers near the target are no overload
+        if req.event.hint_ns is not None:  # Danger: means of different requests drift apart
+            self.hint_mean[cls] += alpha * (req.event.hint_ns - self.hint_mean[cls])
+
+    def _learn_endpoint(self, req: Pending, attempt: Attempt, event: api.Outcome) -> None:
+        e, took = attempt.endpoint, float(event.latency_ns)
+        before, spent = self._slowdown(e), event.status is Status.TIMEOUT and self.now >= req.aim
+        share = 1.0 if spent else min(took / req.cls.target_ns, 1.0)
+        if event.status not in (Status.OK, Status.CANCELLED):
+            self._log("failing", f"endpoint {e.id}: {event.status.name}, slowdown {before:.1f}")
+            took = max(took, float(req.cls.deadline_ns))  # Danger: a fast error is not a fast answer
+        if event.status in (Status.OK, Status.TIMEOUT):
+            # One bad endpoint among others is no overload.
+            self._strain(share, STRAIN_ALPHA * min(1.0, self._typical(e) / before))
+        sample = max(1e-9, min(took / attempt.usual, MAX_SLOWDOWN))
+        if event.status is Status.CANCELLED and sample <= before:
+            return  # given up early: says nothing
+        own = self._slowdown(e, req.event.cls)
+        alpha = ALPHA if event.status is Status.OK else FAIL_ALPHA
+        e.by_class[req.event.cls] = own + alpha * (sample - own), self.now
+        self._learn(e, before + ALPHA * (sample - before), self.now)
+        self._tell_peer()
+
+    def _learn(self, e: Endpoint, slow: float, at: int) -> None:
+        e.slow, e.slow_at, kind = slow, at, self._typical(e)
+        self.kind_slow[e.row.kind, e.zone] = kind + KIND_ALPHA * (slow - kind)
+
+    def _log(self, topic: str, text: str) -> None:
+        # For docs/on-call.md. One line a topic in a longest deadline: a log must not become a load.
+        if self.now >= self.logged.get(topic, 0):
+            self.logged[topic] = self.now + self.forget_ns
+            self.actions.append(api.Log(f"{topic}: {text}"))
+
+    def _set_timer(self, what: str, delay: int, req: Pending | None = None) -> None:
+        self.next_token = (self.next_token + 1) % 2**32
+        self.timers[self.next_token] = (what, req.id if req else 0)
+        self.actions.append(api.SetTimer(max(0, min(delay, MAX_TIMER_NS)), self.next_token))
+
+    def _on_timer(self, event: api.Timer) -> None:
+        what, request = self.timers.pop(event.token, ("", 0))
+        if what == "ask":
+            self.actions.append(api.Watch(True))
+        elif what == "probe":
+            self.actions.extend(api.Probe(e.id) for e in sorted(self.ready, key=lambda e: e.queue_at)[:1])
+            self._set_timer("probe", self.forget_ns // 10)
+        elif req := self.pending.get(request):  # held
+            self._attempt(req)
+
+
+def _mix(key: int, endpoint: int) -> int:
+    """A number that is the same at every sidecar and looks random."""
+    mixed = (key ^ endpoint * 0x9E3779B97F4A7C15) & 0xFFFFFFFFFFFFFFFF
+    mixed = (mixed ^ mixed >> 31) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
+    return mixed ^ mixed >> 29
--- /dev/null
+++ b/shuntlead/simhost.py
@@ -0,0 +1,103 @@
+"""The adapter: hosts decision modules on the simulator's wire (standard input and output)."""
+
+from __future__ import annotations
+
+import json
+import sys
+from typing import BinaryIO
+
+from shuntlead import interface as api
+from shuntlead import wire
+from shuntlead.logic import Balancer
+
+
+class Host:
+    """The instances of this process. They share nothing but the numbered lists of the wire."""
+
+    def __init__(self) -> None:
+        self._balancers: dict[int, Balancer] = {}
+        self._sheets: dict[int, tuple[api.Listed, ...]] = {}
+
+    def handle_batch(self, now_ns: int, count: int, body: bytes) -> list[tuple[int, api.Action]]:
+        reply: list[tuple[int, api.Action]] = []
+        for instance, event in wire.decode_batch(count, body):
+            if isinstance(event, wire.Sheet):
+                self._sheets[event.number] = event.entries
+                continue
+            try:
+                reply.extend((instance, action) for action in self._one(now_ns, instance, event))
+            except wire.WireError:
+                raise
+            except Exception as error:  # the wire has an action for a decision module that fails
+                self._balancers.pop(instance, None)
+                reply.append((instance, api.Fault(f"{type(error).__name__}: {error}")))
+        return reply
+
+    def _one(self, now_ns: int, instance: int, event: wire.WireEvent) -> list[api.Action]:
+        if isinstance(event, wire.Boot):
+            self._balancers.pop(instance, None)
+            settings = api.Settings.from_dict(_parse(event.params))
+            self._balancers[instance] = Balancer(settings, event.seed)
+            return []
+        if isinstance(event, wire.Down):
+            self._balancers.pop(instance, None)
+            return []
+        balancer = self._balancers.get(instance)
+        if balancer is None or isinstance(event, wire.Sheet):
+            return []
+        if isinstance(event, wire.RosterRef):
+            event = self._resolve(event)
+        elif isinstance(event, api.Request) and event.cls >= len(balancer.settings.classes):
+            raise api.SettingsError(f"request class {event.cls} is not in the settings")
+        return balancer.handle(now_ns, event)
+
+    def _resolve(self, ref: wire.RosterRef) -> api.Roster:
+        form = api.RosterForm(ref.form)
+        if form is api.RosterForm.FAILED:
+            return api.Roster(ref.version, form)
+        if ref.sheet not in self._sheets:
+            raise wire.WireError(f"list {ref.sheet} was never sent")
+        return api.Roster(ref.version, form, self._sheets[ref.sheet])
+
+
+def _parse(params: bytes) -> dict[str, object]:
+    try:
+        raw = json.loads(params)
+    except ValueError as error:
+        raise api.SettingsError(f"settings are not JSON: {error}") from None
+    if not isinstance(raw, dict):
+        raise api.SettingsError("settings are not a JSON object")
+    return raw
+
+
+def _read_exactly(stream: BinaryIO, size: int) -> bytes:
+    data = stream.read(size)
+    if len(data) < size:
+        raise wire.WireError(f"input ended inside a frame ({len(data)} of {size} bytes)")
+    return data
+
+
+def serve(source: BinaryIO, sink: BinaryIO) -> None:
+    """Answer batches until the input ends between two of them."""
+    host = Host()
+    while first := source.read(1):
+        header = first + _read_exactly(source, wire.BATCH_HEADER.size - 1)
+        count, size, now_ns = wire.BATCH_HEADER.unpack(header)
+        if size < wire.CLOCK_BYTES:
+            raise wire.WireError(f"batch length {size} leaves no room for the clock")
+        body = _read_exactly(source, size - wire.CLOCK_BYTES)
+        sink.write(wire.encode_reply(host.handle_batch(now_ns, count, body)))
+        sink.flush()
+
+
+def main() -> int:
+    try:
+        serve(sys.stdin.buffer, sys.stdout.buffer)
+    except wire.WireError as error:
+        print(f"shuntlead.simhost: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/checker.py
@@ -0,0 +1,156 @@
+"""An independent reading of the four rules and of order by key: follows events, asserts what may be sent.
+
+It shares no logic with the module: it keeps its own books from what passes by.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from shuntlead import interface as api
+from shuntlead.interface import Effect, Settings
+
+PROVEN_UNRUN = {2, 4, 7}  # full, connect failed, moot
+MAY_RUN_ON = {3, 5, 6}  # time-out, reset, cancelled
+
+
+@dataclass
+class Copy:
+    endpoint: int
+    sent: int
+    open: bool = True
+    unrun: bool = False
+
+
+@dataclass
+class Ledger:
+    cls: api.RequestClass
+    due: int
+    copies: list[Copy] = field(default_factory=list)
+    answered: bool = False  # by the module, or by an outcome that closed it
+    key: int = 0  # of an in-order request
+    rests_until: int = 0  # its key's, by its own attempts
+    closed_events: set[int] = field(default_factory=set)
+
+    def over(self) -> bool:
+        return self.answered and not any(c.open for c in self.copies)
+
+
+class Checker:
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.requests: dict[int, Ledger] = {}
+        self.told: dict[int, api.Listed] = {}
+        self.barred_since: dict[int, int] = {}
+        self.ever: dict[int, api.Listed] = {}
+        self.lines: dict[int, list[int]] = {}  # in-order requests by key, as taken
+
+    def event(self, now: int, event: api.Event) -> None:
+        match event:
+            case api.Request():
+                cls = self.settings.classes[event.cls]
+                key = event.key if cls.in_order else 0
+                self.requests[event.request] = Ledger(cls, now + event.left_ns, key=key)
+                if key:
+                    self.lines.setdefault(key, []).append(event.request)
+            case api.ClientGone():
+                self.requests[event.request].answered = True
+            case api.Outcome():
+                ledger = self.requests[event.request]
+                copy = ledger.copies[event.attempt]
+                copy.open = False
+                copy.unrun = int(event.status) in PROVEN_UNRUN
+                if int(event.status) in MAY_RUN_ON:
+                    ledger.rests_until = now + self.settings.order_settle_ns
+                ledger.answered = ledger.answered or event.finished
+            case api.Roster() if event.form != api.RosterForm.FAILED:
+                self._roster(now, event)
+            case _:
+                pass
+
+    def _roster(self, now: int, roster: api.Roster) -> None:
+        if roster.form != api.RosterForm.DELTA:
+            for endpoint in set(self.told) - {row.endpoint for row in roster.entries}:
+                del self.told[endpoint]
+                self.barred_since.setdefault(endpoint, now)
+        for row in roster.entries:
+            self.ever[row.endpoint] = row
+            self.told[row.endpoint] = row
+            if row.state == 1:
+                self.barred_since.pop(row.endpoint, None)
+            else:
+                self.barred_since.setdefault(row.endpoint, now)
+
+    def actions(self, now: int, actions: list[api.Action]) -> None:
+        for action in actions:
+            match action:
+                case api.Send():
+                    self._send(now, action)
+                case api.Refuse():
+                    self._final(now, action.request)
+                    self._refusal(self.requests[action.request])
+                case api.Fail():
+                    self._final(now, action.request)
+                case api.Cancel():
+                    assert self.settings.may_cancel, "cancel where it is not allowed"
+                    assert action.attempt < len(self.requests[action.request].copies), "unknown attempt"
+                case api.Probe():
+                    assert self.settings.may_probe
+                case api.Tell():
+                    assert self.settings.may_message
+                case api.SetTimer():
+                    assert 0 <= action.delay_ns <= 71 * 60 * 10**9
+                case _:
+                    pass
+
+    def _send(self, now: int, send: api.Send) -> None:
+        ledger = self.requests[send.request]
+        assert not ledger.answered, "rule 1: a send for a request that has ended"
+        assert send.endpoint in self.ever, "an endpoint no list has named"
+        assert send.timeout_ns >= 0
+        barred = self.barred_since.get(send.endpoint)
+        grace = self.settings.drain_grace_ns
+        assert barred is None or now <= barred + grace, "rule 3: a send past the drain grace"
+        assert len(ledger.copies) < self.settings.attempts_cap, "more attempts than allowed"
+        if not self.settings.may_duplicate:
+            assert not any(c.open for c in ledger.copies), "two attempts outstanding"
+        self._effects(now, ledger, send.endpoint)
+        self._order(now, send.request, ledger)
+        ledger.copies.append(Copy(send.endpoint, now))
+
+    def _effects(self, now: int, ledger: Ledger, endpoint: int) -> None:
+        risky = [c for c in ledger.copies if not c.unrun]
+        if not risky or ledger.cls.effect is Effect.REPEATABLE:
+            return
+        assert ledger.cls.effect is Effect.BY_KEY, "rule 2: an unsafe request sent again"
+        assert now <= risky[0].sent + ledger.cls.dedup_window_ns, "rule 2: past the dedup window"
+        here, first = self.ever[endpoint], self.ever[risky[0].endpoint]
+        if ledger.cls.dedup_scope == "zone":
+            assert here.zone == first.zone, "rule 2: outside the zone that drops repeats"
+        elif ledger.cls.dedup_scope == "cell":
+            assert here.cell == first.cell, "rule 2: outside the cell that drops repeats"
+
+    def _order(self, now: int, request: int, ledger: Ledger) -> None:
+        if not ledger.key:
+            return
+        line = self.lines[ledger.key]
+        for earlier in line[: line.index(request)]:
+            assert self.requests[earlier].over(), "order: an earlier request of the key is not over"
+            assert now >= self.requests[earlier].rests_until, "order: the key's rest was cut short"
+
+    def _refusal(self, ledger: Ledger) -> None:
+        if all(c.unrun for c in ledger.copies) or ledger.cls.effect is Effect.REPEATABLE:
+            return
+        by_key_all = ledger.cls.effect is Effect.BY_KEY and ledger.cls.dedup_scope == "all"
+        assert by_key_all, "rule 2: a refusal of what may have run"
+
+    def _final(self, now: int, request: int) -> None:
+        ledger = self.requests[request]
+        assert not ledger.answered, "rule 1: a second final answer"
+        assert now <= ledger.due + self.settings.answer_slack_ns, "rule 1: a late final answer"
+        ledger.answered = True
+
+    def nothing_owed(self, now: int) -> None:
+        for request, ledger in self.requests.items():
+            late = now > ledger.due + self.settings.answer_slack_ns
+            assert ledger.answered or not late, f"rule 1: request {request} was never answered"
--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,108 @@
+"""Settings and a scripted world for the tests. The figures are made up for them."""
+
+from __future__ import annotations
+
+import copy
+from typing import Any
+
+from shuntlead import interface as api
+from shuntlead.interface import Settings
+from shuntlead.logic import Balancer
+
+MS = 1_000_000
+SECOND = 1_000 * MS
+
+
+def raw_settings(**changes: Any) -> dict[str, Any]:
+    """A settings object in the wire's terms; `a__b=v` changes key `b` inside `a`."""
+    raw: dict[str, Any] = {
+        "allowed": {
+            "attempts-cap": 3, "cancel": True, "connect-timeout-ns": 100 * MS, "may-duplicate": True,
+            "max-retry-after-ns": SECOND, "retry-after": True, "peers": False, "probes": False,
+            "keepalive-ns": 10 * SECOND, "streams-per-conn": 1,
+        },
+        "fleet-size": 2,
+        "guarantees": {
+            "answer-slack-ns": 20 * MS, "ask-within-ns": 10 * SECOND, "cold-ns": 10 * SECOND,
+            "drain-grace-ns": 200 * MS, "fall-multiple": 2.5, "fall-ns": SECOND, "start-capacity": 0.25,
+        },
+        "report": {"columns": ["queue"], "how": "piggyback"},
+        "request-classes": [
+            {"target-ns": 700 * MS, "deadline-ns": 2 * SECOND, "effect": "repeatable", "worth": 1.0},
+            {"target-ns": 700 * MS, "deadline-ns": 2 * SECOND, "effect": "by_key", "worth": 2.0,
+             "dedup-scope": "zone", "dedup-window-ns": SECOND},
+            {"target-ns": 700 * MS, "deadline-ns": 2 * SECOND, "effect": "once", "worth": 5.0},
+        ],
+        "resolution-ns": 5 * MS,
+        "zone": 0,
+    }  # fmt: skip
+    for path, value in changes.items():
+        *parents, key = [part.replace("_", "-") for part in path.split("__")]
+        place = raw
+        for parent in parents:
+            place = place.setdefault(parent, {})
+        place[key] = value
+    return copy.deepcopy(raw)
+
+
+def settings(**changes: Any) -> Settings:
+    return Settings.from_dict(raw_settings(**changes))
+
+
+def listed(endpoint: int, *, weight: float = 1.0, cell: int = 0, kind: int = 0, zone: int = 0,
+           state: int = api.EndpointState.READY, started_ns: int = 0) -> api.Listed:  # fmt: skip
+    return api.Listed(endpoint, weight, cell, kind, zone, state, started_ns)
+
+
+class Sidecar:
+    """One module with a fleet, driven by hand."""
+
+    def __init__(self, rows: list[api.Listed], seed: int = 1, **changes: Any) -> None:
+        self.balancer = Balancer(settings(**changes), seed)
+        self.now = 100 * SECOND
+        self.roster(rows, api.RosterForm.CACHED)
+        self._last = 0
+
+    def roster(
+        self, rows: list[api.Listed], form: api.RosterForm = api.RosterForm.DELTA
+    ) -> list[api.Action]:
+        return self.balancer.handle(self.now, api.Roster(1, form, tuple(rows)))
+
+    def request(self, cls: int = 0, left_ns: int = 2 * SECOND, **fields: Any) -> list[api.Action]:
+        self._last += 1
+        return quiet(self.balancer.handle(self.now, api.Request(self._last, cls, left_ns, **fields)))
+
+    def outcome(
+        self, send: api.Send, status: api.Status = api.Status.OK, *, attempt: int = 0,
+        latency_ns: int = 50 * MS, finished: bool | None = None, load: tuple[float, ...] = (0.0,),
+    ) -> list[api.Action]:  # fmt: skip
+        done = status is api.Status.OK if finished is None else finished
+        event = api.Outcome(send.request, send.endpoint, attempt, latency_ns, status, done, load)
+        return quiet(self.balancer.handle(self.now, event))
+
+    def serve(self, count: int, latency_ns: int = 50 * MS, cls: int = 0) -> list[int]:
+        """Send and answer requests one after another; the endpoints chosen."""
+        chosen = []
+        for _ in range(count):
+            for send in sends(self.request(cls)):
+                chosen.append(send.endpoint)
+                self.now += latency_ns
+                self.outcome(send, latency_ns=latency_ns)
+        return chosen
+
+
+def quiet(actions: list[api.Action]) -> list[api.Action]:
+    """The actions but for log lines."""
+    return [a for a in actions if not isinstance(a, api.Log)]
+
+
+def sends(actions: list[api.Action]) -> list[api.Send]:
+    return [a for a in actions if isinstance(a, api.Send)]
+
+
+def finals(actions: list[api.Action]) -> list[api.Action]:
+    return [a for a in actions if isinstance(a, api.Refuse | api.Fail)]
+
+
+def timers(actions: list[api.Action]) -> list[api.SetTimer]:
+    return [a for a in actions if isinstance(a, api.SetTimer)]
--- /dev/null
+++ b/tests/test_hostile.py
@@ -0,0 +1,117 @@
+"""Legal but hostile figures neither raise nor break a rule; other deployments' settings run."""
+
+from __future__ import annotations
+
+import pytest
+
+from shuntlead import interface as api
+from shuntlead.interface import RosterForm, Settings, Status
+from tests.support import MS, SECOND, Sidecar, finals, listed, raw_settings, sends, timers
+from tests.test_rules import World
+
+
+@pytest.mark.parametrize("size", [0, 1, 300])
+def test_fleets_of_any_size(size: int) -> None:
+    car = Sidecar([listed(n, started_ns=n % 3 * 99 * SECOND) for n in range(size)])
+    for _ in range(30):
+        for send in sends(car.request()):
+            car.outcome(send, Status.RESET)
+        car.now += 20 * MS
+
+
+@pytest.mark.parametrize("figure", [float("nan"), float("inf"), -1.0, 0.0, 3e38])
+def test_report_figures_of_any_kind(figure: float) -> None:
+    car = Sidecar([listed(1), listed(2)], report__columns=["latency_ms", "queue", "inflight", "qps"])
+    for _ in range(50):
+        for send in sends(car.request()):
+            car.now += 10 * MS
+            car.outcome(send, load=(figure,) * 4)
+    assert set(car.serve(40)) == {1, 2}
+
+
+def test_no_time_left_is_answered_at_once() -> None:
+    car = Sidecar([listed(1)])
+    assert len(finals(car.request(left_ns=0))) == 1
+
+
+def test_a_start_time_in_the_future_is_as_cold_as_can_be() -> None:
+    car = Sidecar([listed(1), listed(2)])
+    car.serve(50)
+    car.roster([listed(3, started_ns=car.now + 60 * SECOND)])
+    assert car.serve(100).count(3) < 30
+
+
+def test_a_fleet_that_fails_as_a_whole_is_used_again_when_well() -> None:
+    car = Sidecar([listed(1), listed(2), listed(3)])
+    for _ in range(200):
+        for send in sends(car.request(cls=2)):
+            car.outcome(send, Status.ERROR)
+        car.now += 20 * MS
+    assert len(car.serve(50)) == 50
+
+
+def test_a_sidecar_that_sends_little_tries_a_failed_endpoint_again() -> None:
+    """Danger: at one request in two seconds, samples are rare; a bad one must not last for ever."""
+    car = Sidecar([listed(1), listed(2), listed(3)])
+    for _ in range(6):
+        for send in sends(car.request(cls=2)):
+            car.outcome(send, Status.ERROR if send.endpoint == 1 else Status.OK)
+        car.now += 50 * MS
+    chosen = []
+    for _ in range(60):
+        car.now += 2 * SECOND
+        chosen += car.serve(1)
+    assert chosen.count(1) > 8
+
+
+def test_old_reports_fade_and_do_not_herd() -> None:
+    car = Sidecar([listed(1), listed(2)])
+    car.serve(40)
+    for e, queue in zip(car.balancer.endpoints.values(), (0.0, 40.0), strict=True):
+        e.queue, e.queue_at, e.slow, e.slow_at = queue, car.now, 1.0, car.now
+    car.balancer.mean_queue = 20.0
+    idle, busy = car.balancer.endpoints.values()
+    assert car.balancer._load(busy) > 39 > 1 > car.balancer._load(idle)
+    car.balancer.now += 20 * SECOND
+    assert car.balancer._load(busy) / car.balancer._load(idle) < 1.2
+
+
+def test_a_streaming_class_runs_to_the_clients_limit() -> None:
+    raw = raw_settings()
+    raw["request-classes"][0]["stream"] = True
+    car = Sidecar([listed(1)])
+    car.balancer = type(car.balancer)(Settings.from_dict(raw), 1)
+    car.roster([listed(1)], RosterForm.CACHED)
+    assert sends(car.request())[0].timeout_ns == 0
+
+
+def test_waiting_for_a_stalled_endpoint_is_bounded_and_cheap() -> None:
+    car = Sidecar([listed(1), listed(2)])
+    car.serve(20)
+    pending = []
+    for _ in range(400):
+        pending += timers(car.request(cls=2))
+        car.now += MS
+    assert len(pending) < 500
+    assert len(car.balancer.pending) < 400
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_rules_hold_with_asked_discovery_and_silent_reports(seed: int) -> None:
+    raw = raw_settings(discovery="ask", report__how="silent", report__columns=[], allowed__cancel=False)
+    checker = World(seed, api.Settings.from_dict(raw), 10 * SECOND).run()
+    assert checker.requests
+
+
+@pytest.mark.parametrize("figure", [float("nan"), float("inf"), -1.0, 0.0, 3e38])
+def test_peer_figures_of_any_kind(figure: float) -> None:
+    """Operators carry messages as they like: what a peer tells may be anything."""
+    car = Sidecar([listed(1), listed(2)], allowed__peers=True)
+    seen = (api.Sighting(1, figure, figure, -(10**18)), api.Sighting(7, figure, figure, 10**18))
+    for _ in range(50):
+        car.balancer.handle(car.now, api.PeerMessage(1, figure, seen))
+        for send in sends(car.request()):
+            car.now += 10 * MS
+            car.outcome(send)
+    strained = figure in (float("inf"), 3e38)
+    assert strained or len(car.serve(40)) == 40
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,212 @@
+"""The codec, on frames written for these tests, and the adapter over a pipe."""
+
+from __future__ import annotations
+
+import json
+import struct
+import subprocess
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from shuntlead import interface as api
+from shuntlead import wire
+from shuntlead.simhost import Host
+from tests.support import MS, SECOND, listed, raw_settings
+
+ROOT = Path(__file__).parent.parent
+
+
+def boot(instance: int, raw: object, seed: int = 7) -> bytes:
+    params = json.dumps(raw).encode()
+    return struct.pack("<HIQI", 1000, instance, seed, len(params)) + params
+
+
+def sheet(number: int, rows: list[api.Listed]) -> bytes:
+    entries = b"".join(struct.pack("<IfHHHBQ", *row) for row in rows)
+    return struct.pack("<HII", 1100, number, len(rows)) + entries
+
+
+def roster(instance: int, form: int, number: int) -> bytes:
+    return struct.pack("<HIQBI", 1010, instance, 3, form, number)
+
+
+def arrival(instance: int, request: int, cls: int = 0, left_ns: int = SECOND) -> bytes:
+    return struct.pack("<HIQQQQHHB", 1020, instance, request, 30 * MS, 99, left_ns, 1, 1 | 4, cls)
+
+
+def batch(records: list[bytes], now_ns: int = 5 * SECOND) -> bytes:
+    body = b"".join(records)
+    return struct.pack("<IIQ", len(records), len(body) + 8, now_ns) + body
+
+
+def test_decodes_every_event() -> None:
+    records = [
+        sheet(2, [listed(11, weight=1.5, cell=3, kind=1, zone=2, started_ns=77)]),
+        roster(4, 1, 2),
+        arrival(4, 1 << 51),
+        struct.pack("<HIQIQH", 1030, 4, 8, 11, 60, 1),
+        struct.pack("<HIQIHQBBB2f", 1040, 4, 8, 11, 1, 60, 3, 0, 2, 0.5, 8.0),
+        struct.pack("<HIQ", 1050, 4, 8),
+        struct.pack("<HII", 1060, 4, 21),
+        struct.pack("<HIBIQBf", 1070, 4, 1, 11, 60, 1, 2.0),
+        struct.pack("<HIHH", 1080, 4, 2, 3) + b"abc",
+        struct.pack("<HI", 1090, 4),
+        boot(4, {}, seed=9),
+    ]
+    assert wire.decode_batch(len(records), b"".join(records)) == [
+        (-1, wire.Sheet(2, (api.Listed(11, 1.5, 3, 1, 2, 1, 77),))),
+        (4, wire.RosterRef(3, 1, 2)),
+        (4, api.Request(1 << 51, 0, SECOND, 30 * MS, 99, 1, False, True)),
+        (4, api.FirstByte(8, 11, 60, 1)),
+        (4, api.Outcome(8, 11, 1, 60, api.Status.TIMEOUT, False, (0.5, 8.0))),
+        (4, api.ClientGone(8)),
+        (4, api.Timer(21)),
+        (4, api.ProbeResult(11, api.Status.OK, 60, (2.0,))),
+        (4, api.PeerMessage(2)),  # what no release of this wire has sent says nothing
+        (4, wire.Down()),
+        (4, wire.Boot(9, b"{}")),
+    ]
+
+
+@pytest.mark.parametrize(
+    ("action", "expected"),
+    [
+        (api.Send(8, 11, 30), struct.pack("<HIQIQ", 1090, 4, 8, 11, 30)),
+        (api.Refuse(8, 5), struct.pack("<HIQQ", 1080, 4, 8, 5)),
+        (api.Fail(8), struct.pack("<HIQ", 1000, 4, 8)),
+        (api.Cancel(8, 2), struct.pack("<HIQH", 1030, 4, 8, 2)),
+        (api.SetTimer(30, 6), struct.pack("<HIQI", 1010, 4, 30, 6)),
+        (api.Log("hé"), struct.pack("<HIH", 1050, 4, 3) + "hé".encode()),
+        (api.Fault("no"), struct.pack("<HIH", 1020, 4, 2) + b"no"),
+        (api.Fetch(), struct.pack("<HI", 1040, 4)),
+        (api.Watch(False), struct.pack("<HIB", 1070, 4, 0)),
+        (api.CloseIdle(11), struct.pack("<HII", 1060, 4, 11)),
+        (api.Tell(-1, 1.0), struct.pack("<HIIHB", 1100, 4, 0xFFFFFFFF, 1, 255)),
+        (
+            api.Tell(7, 0.0, (api.Sighting(11, 1.0, 3.0, 100 * MS),)),
+            struct.pack("<HIIHBIBBB", 1100, 4, 7, 8, 0, 11, 64, 32, 2),
+        ),
+        (api.Probe(11), struct.pack("<HII", 1110, 4, 11)),
+    ],
+)
+def test_encodes_every_action(action: api.Action, expected: bytes) -> None:
+    assert wire.encode_action(4, action) == expected
+    assert wire.encode_reply([(4, action)]) == struct.pack("<II", 1, len(expected)) + expected
+
+
+@pytest.mark.parametrize(
+    ("count", "body", "text"),
+    [
+        (1, struct.pack("<H", 9), "unknown event code 9"),
+        (1, arrival(4, 8)[:-1], "truncated"),
+        (1, arrival(4, 8) + b"z", "left after"),
+        (1, struct.pack("<HIQIHQBBB", 1040, 4, 8, 11, 1, 60, 3, 0, 2), "truncated"),
+        (1, struct.pack("<HIQIHQBBB", 1040, 4, 8, 11, 1, 60, 99, 0, 0), "unknown status"),
+        (1, roster(4, 9, 0), "unknown roster form"),
+        (2, arrival(4, 8), "truncated"),
+    ],
+)
+def test_malformed_frames_are_named(count: int, body: bytes, text: str) -> None:
+    with pytest.raises(wire.WireError, match=text):
+        wire.decode_batch(count, body)
+
+
+def test_a_list_number_means_the_latest_list_so_far() -> None:
+    host = Host()
+    first = [boot(1, raw_settings()), sheet(0, [listed(11)]), roster(1, 3, 0), arrival(1, 1)]
+    second = [sheet(0, [listed(12)]), roster(1, 2, 0), arrival(1, 2)]
+    records = b"".join(first + second)
+    reply = host.handle_batch(SECOND, len(first + second), records)
+    chosen = [a.endpoint for _, a in reply if isinstance(a, api.Send)]
+    assert chosen == [11, 12]
+
+
+def test_kill_and_restart_in_one_batch_drops_all_state() -> None:
+    host = Host()
+    start = [boot(1, raw_settings()), sheet(0, [listed(11)]), roster(1, 3, 0), arrival(1, 1)]
+    host.handle_batch(SECOND, len(start), b"".join(start))
+    again = [struct.pack("<HI", 1090, 1), boot(1, raw_settings()), sheet(0, []), roster(1, 3, 0),
+             struct.pack("<HIQ", 1050, 1, 1)]  # fmt: skip
+    assert host.handle_batch(2 * SECOND, len(again), b"".join(again)) == []
+
+
+def test_settings_at_fault_become_the_failure_action() -> None:
+    broken = raw_settings()
+    del broken["guarantees"]["cold-ns"]
+    wrong = raw_settings(zone="first")
+    endless = raw_settings(guarantees__start_capacity=float("inf"))
+    never = raw_settings(allowed__attempts_cap=0)
+    aimless = raw_settings()
+    aimless["request-classes"][1]["target-ns"] = -5
+    for raw, text in (
+        (broken, "guarantees.cold-ns: missing"), (wrong, "zone: wrong type"), ([], "object"),
+        (endless, "guarantees.start-capacity: not finite"), (never, "allowed.attempts-cap: 0 is not above 0"),
+        (aimless, "request-classes[1].target-ns: -5 is not above 0"),
+    ):  # fmt: skip
+        record = boot(3, raw)
+        [(instance, action)] = Host().handle_batch(SECOND, 1, record)
+        assert instance == 3
+        assert isinstance(action, api.Fault)
+        assert text in action.text
+
+
+def test_an_exception_while_deciding_becomes_the_failure_action_of_that_instance() -> None:
+    host = Host()
+    start = [boot(1, raw_settings()), boot(2, raw_settings()), sheet(0, [listed(11)]),
+             roster(1, 3, 0), roster(2, 3, 0), arrival(1, 1, cls=200), arrival(2, 2)]  # fmt: skip
+    reply = host.handle_batch(SECOND, len(start), b"".join(start))
+    [(instance, fault)] = [(i, a) for i, a in reply if isinstance(a, api.Fault)]
+    assert instance == 1
+    assert "request class 200 is not in the settings" in fault.text
+    assert [i for i, a in reply if isinstance(a, api.Send)] == [2]
+
+
+def test_unknown_settings_keys_are_ignored() -> None:
+    raw = raw_settings(surprise={"deep": [1]})
+    raw["allowed"]["surprise"] = 3
+    assert api.Settings.from_dict(raw) == api.Settings.from_dict(raw_settings())
+
+
+def run_sim(data: bytes) -> subprocess.CompletedProcess[bytes]:
+    deploy = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())
+    return subprocess.run(
+        ["/bin/sh", "-c", deploy["sim"]], input=data, capture_output=True, cwd=ROOT, timeout=60
+    )
+
+
+def test_the_deploy_files_own_command_answers_over_a_pipe() -> None:
+    start = batch([boot(1, raw_settings()), sheet(0, [listed(11)]), roster(1, 3, 0)])
+    done = run_sim(batch([]) + start + batch([arrival(1, 5)]))
+    assert done.returncode == 0, done.stderr
+    assert done.stdout.startswith(struct.pack("<II", 0, 0) * 2)
+    assert struct.pack("<HIQI", 1090, 1, 5, 11) in done.stdout
+    assert done.stderr == b""
+
+
+@pytest.mark.parametrize(
+    "data", [b"\x01", batch([arrival(1, 1)])[:-3], batch([b"\x00\x00"]), struct.pack("<IIQ", 0, 3, 0)]
+)
+def test_a_broken_frame_ends_the_adapter_with_one_line(data: bytes) -> None:
+    done = run_sim(batch([]) + data)
+    assert done.returncode != 0
+    assert done.stdout == struct.pack("<II", 0, 0)
+    assert len(done.stderr.splitlines()) == 1
+
+
+def test_a_peer_message_comes_back_as_it_was_told_within_its_steps() -> None:
+    told = tuple(api.Sighting(2**32 - 1 - n, 0.5 + n, n * n, n * 60 * MS) for n in range(50))
+    record = wire.encode_action(4, api.Tell(7, 0.4, told))
+    data = record[struct.calcsize("<HIIH") :]
+    assert len(data) <= 256
+    body = struct.pack("<HIHH", 1080, 4, 9, len(data)) + data
+    [(instance, message)] = wire.decode_batch(1, body)
+    assert isinstance(message, api.PeerMessage)
+    assert (instance, message.sender, len(message.sightings)) == (4, 9, api.MAX_SIGHTINGS)
+    assert message.strain == pytest.approx(0.4, abs=0.003)
+    for was, now in zip(told, message.sightings, strict=False):
+        assert now.endpoint == was.endpoint
+        assert now.slow == pytest.approx(was.slow, rel=0.03)
+        assert now.queue + 1 == pytest.approx(was.queue + 1, rel=0.03)
+        assert now.age_ns == pytest.approx(was.age_ns, abs=25 * MS)
