--- /dev/null
+++ b/anisespool/config.py
@@ -0,0 +1,168 @@
+"""What the platform tells a sidecar: environment and JSON, read once into frozen types."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, NamedTuple
+
+from shuntlead import Settings, SettingsError
+from shuntlead.interface import EndpointState, Listed
+
+STATES = {"up": EndpointState.READY, "draining": EndpointState.DRAINING, "removed": EndpointState.GONE}
+
+
+class ConfigError(ValueError):
+    """The text names the variable or key."""
+
+
+class Address(NamedTuple):
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: Any) -> Address:
+        host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+        if not host or not port.isdecimal() or not 0 <= int(port) < 65536:
+            raise ValueError(f"{text!r} is no host:port")
+        return cls(host, int(port))
+
+
+class Member(NamedTuple):
+    """One entry of discovery's list; `row.endpoint` is still 0, as numbers are the driver's to give."""
+
+    id: str
+    address: Address
+    row: Listed
+
+
+class MemberList(NamedTuple):
+    revision: int
+    complete: bool
+    members: tuple[Member, ...]
+
+
+@dataclass(frozen=True)
+class Names:
+    """Places of names in the settings' lists. An unknown zone, kind or tenant gets the place past the end:
+    the module then treats it as none that it knows."""
+
+    classes: dict[str, int]
+    tenants: dict[str, int]
+    zones: dict[str, int]
+    kinds: dict[str, int]
+    epoch_ns: int  # Unix time less monotonic time. Taken once, or one start would look like many
+
+    def member_list(self, raw: Any) -> MemberList:
+        """Discovery's JSON object, checked; ValueError says what is wrong with it."""
+        try:
+            members = tuple(self._member(entry) for entry in raw["members"])
+            return MemberList(int(raw["revision"]), raw["complete"] is True, members)
+        except (KeyError, TypeError, AttributeError, OverflowError) as error:
+            raise ValueError(f"{type(error).__name__}: {error}") from None
+
+    def _member(self, raw: dict[str, Any]) -> Member:
+        state = STATES[raw["phase"]]
+        # Danger: what is gone may be listed by its id alone, and must go all the same.
+        gone = state == EndpointState.GONE
+        address = Address("", 0) if gone else Address.parse(raw["host_port"])
+        since_ms = int(raw.get("up_since_ms", 0))
+        started = max(1, since_ms * 1_000_000 - self.epoch_ns) if since_ms else 0
+        zone = self.zones.get(raw.get("locality", ""), len(self.zones))
+        kind = self.kinds.get(raw.get("flavor", ""), len(self.kinds))
+        weight, cell = float(raw.get("size", 1.0)), int(raw.get("cell", 0))
+        return Member(str(raw["id"]), address, Listed(0, weight, cell, kind, zone, state, started))
+
+
+@dataclass(frozen=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    keepalive_ns: int
+    settings: Settings
+    names: Names
+    known: MemberList
+
+
+def load(env: Mapping[str, str]) -> Config:
+    """The whole configuration, or a ConfigError that names what is missing or wrong."""
+    path = _variable(env, "LB_CONFIG")
+    try:
+        with open(path, "rb") as file:
+            raw = json.load(file)
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"LB_CONFIG: {error}") from None
+    if not isinstance(raw, dict) or not isinstance(raw.get("settings"), dict):
+        raise ConfigError("LB_CONFIG: key settings: an object is needed")
+    try:
+        settings = Settings.from_dict(raw["settings"])
+    except (SettingsError, ValueError, OverflowError) as error:
+        raise ConfigError(f"LB_CONFIG: {error}") from None
+    names = _names(raw["settings"])
+    return Config(
+        name=_variable(env, "LB_NAME"),
+        listen=_address(env, "LB_LISTEN"),
+        discovery=_address(env, "LB_DISCOVERY"),
+        seed=_seed(raw.get("seed")),
+        sockets=_number(raw, "limits", "sockets", 1024),
+        keepalive_ns=_number(raw["settings"], "allowed", "keepalive-ns", 15_000_000_000),
+        settings=settings,
+        names=names,
+        known=_known(names, raw.get("known")),
+    )
+
+
+def _variable(env: Mapping[str, str], name: str) -> str:
+    if not env.get(name):
+        raise ConfigError(f"{name}: not set")
+    return env[name]
+
+
+def _address(env: Mapping[str, str], name: str) -> Address:
+    try:
+        return Address.parse(_variable(env, name))
+    except ConfigError:
+        raise
+    except ValueError as error:
+        raise ConfigError(f"{name}: {error}") from None
+
+
+def _seed(raw: Any) -> int:
+    try:
+        return int(raw, 16)
+    except (TypeError, ValueError):
+        raise ConfigError(f"LB_CONFIG: key seed: {raw!r} is no hexadecimal number") from None
+
+
+def _number(raw: dict[str, Any], parent: str, key: str, default: int) -> int:
+    value = (raw.get(parent) or {}).get(key, default)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not value >= 1:
+        raise ConfigError(f"LB_CONFIG: key {parent}.{key}: {value!r} is no number above 0")
+    return int(value)
+
+
+def _names(raw: dict[str, Any]) -> Names:
+    def places(key: str, named: bool) -> dict[str, int]:
+        try:
+            rows = raw.get(key) or []
+            return {row["name"] if named else str(row): n for n, row in enumerate(rows)}
+        except (KeyError, TypeError):
+            raise ConfigError(f"LB_CONFIG: key settings.{key}: names are needed") from None
+
+    epoch_ns = time.time_ns() - time.monotonic_ns()
+    classes, tenants = places("request-classes", True), places("tenants", True)
+    return Names(classes, tenants, places("zones", False), places("skus", False), epoch_ns)
+
+
+def _known(names: Names, raw: Any) -> MemberList:
+    if raw is None:
+        return MemberList(0, True, ())
+    try:
+        return names.member_list(raw)
+    except ValueError as error:
+        raise ConfigError(f"LB_CONFIG: key known: {error}") from None
--- /dev/null
+++ b/anisespool/discovery.py
@@ -0,0 +1,78 @@
+"""The watch on discovery's list: one long answer, a JSON object a line, for as long as it lasts."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import sys
+from collections.abc import Callable
+
+from anisespool import http1
+from anisespool.config import Address, MemberList, Names
+
+SILENCE_S = 5.0  # an empty line is due every 2 s: a cut-off peer says nothing, TCP does not notice
+FIRST_WAIT_S, LONGEST_WAIT_S = 0.05, 2.0  # news counts as told after 6 s
+MAX_LINE = 4 * 1024 * 1024
+
+
+class Watch:
+    """Keeps the list up to date and hands each change on, in order."""
+
+    def __init__(
+        self, address: Address, names: Names, revision: int, on_list: Callable[[MemberList], None]
+    ) -> None:
+        self._address, self._names, self._on_list = address, names, on_list
+        self._revision = revision
+        self._buffer = b""
+        self._wait_s = FIRST_WAIT_S
+
+    async def run(self) -> None:
+        while True:
+            try:
+                await self._watch_once()
+            except (OSError, TimeoutError) as error:
+                print(f"discovery: {type(error).__name__}: {error}", file=sys.stderr)
+            # Jittered: all sidecars lose discovery at the same moment.
+            await asyncio.sleep(self._wait_s * random.uniform(0.5, 1.0))
+            self._wait_s = min(2 * self._wait_s, LONGEST_WAIT_S)
+
+    async def _watch_once(self) -> None:
+        self._buffer = b""
+        async with asyncio.timeout(SILENCE_S):
+            reader, writer = await asyncio.open_connection(*self._address)
+        try:
+            target = b"/v1/servers?stream=1&index=%d" % self._revision
+            request = http1.Request(b"GET", target, {}, b"", True)
+            writer.write(http1.encode_request(request, "{}:{}".format(*self._address).encode(), {}))
+            parser = http1.ResponseParser(self._on_body)
+            while True:
+                async with asyncio.timeout(SILENCE_S):
+                    data = await reader.read(65536)
+                if not data:
+                    return
+                parser.feed(data)
+                if parser.broken or parser.response or parser.status not in (0, 200):
+                    return
+                if len(self._buffer) > MAX_LINE:
+                    raise OSError("a line without end")
+        finally:
+            writer.transport.abort()
+
+    def _on_body(self, data: bytes) -> None:
+        *lines, self._buffer = (self._buffer + data).split(b"\n")
+        if lines:
+            self._wait_s = FIRST_WAIT_S
+        for line in lines:
+            if line.strip():
+                self._on_line(line)
+
+    def _on_line(self, line: bytes) -> None:
+        try:
+            update = self._names.member_list(json.loads(line))
+        except (ValueError, RecursionError) as error:
+            # Danger: one line that nobody can read must not end the watch, nor hide those behind it.
+            print(f"discovery: a line was skipped: {error}"[:300], file=sys.stderr)
+            return
+        self._revision = update.revision
+        self._on_list(update)
--- /dev/null
+++ b/anisespool/endpoints.py
@@ -0,0 +1,283 @@
+"""Connections to endpoints. An attempt ends in exactly one status, and that status never says 'not run'
+of what may have run. Nothing here sends anything twice."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+import time
+from collections.abc import Callable
+
+from anisespool import http1
+from anisespool.config import Address
+from shuntlead.interface import Status
+
+FORWARDED = {b"x-trace-id": b"X-Trace-Id", b"idempotency-key": b"Idempotency-Key",
+             b"content-type": b"Content-Type"}  # fmt: skip
+IDLE_SHARE = 0.75  # of the settings' keepalive: past it the endpoint closes, and a request on it is a reset
+MAX_IDLE = 48  # idle connections kept to one endpoint
+SWEEP_S = 1.0
+
+
+class Attempt:
+    """One try of a request at one endpoint, from the Send until its one status."""
+
+    __slots__ = ("_timer", "connection", "deadline_ns", "endpoint", "load", "number", "on_end", "request",
+                 "request_id", "response", "started_ns", "status")  # fmt: skip
+
+    def __init__(self, request_id: int, number: int, endpoint: int, request: http1.Request, deadline_ns: int,
+                 on_end: Callable[[Attempt], None]) -> None:  # fmt: skip
+        self.request_id, self.number, self.endpoint = request_id, number, endpoint
+        self.request, self.deadline_ns, self.on_end = request, deadline_ns, on_end
+        self.started_ns = time.monotonic_ns()
+        self.status: Status | None = None
+        self.response: http1.Response | None = None
+        self.load: tuple[float, ...] = ()
+        self.connection: Connection | None = None
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_at(deadline_ns / 1e9, self.give_up, Status.TIMEOUT)
+
+    def end(self, status: Status, response: http1.Response | None = None) -> None:
+        """The first end is the only one."""
+        if self.status is None:
+            self.status, self.response = status, response
+            self._timer.cancel()
+            self.on_end(self)
+
+    def give_up(self, status: Status) -> None:
+        """Stop waiting. What never had a connection has surely not run, whatever made us stop."""
+        if self.status is not None:
+            return
+        connection, self.connection = self.connection, None
+        unsent = connection is None or connection.unwritten
+        if connection:
+            connection.discard()
+        self.end(Status.CONNECT_FAILED if unsent and status is Status.TIMEOUT else status)
+
+
+class Pool:
+    """What is known of one endpoint's address, and the connections to it."""
+
+    def __init__(self, address: Address, started_ns: int, open_to_new: bool) -> None:
+        self.address, self.started_ns, self.open_to_new = address, started_ns, open_to_new
+        self.idle: list[Connection] = []  # the latest used last
+        self.waiting: set[Attempt] = set()  # for a connection of their own
+
+    def close_idle(self) -> None:
+        idle, self.idle = self.idle, []
+        for connection in idle:
+            connection.discard()
+
+    def retire(self) -> None:
+        """Drained, gone or replaced. Danger: an attempt that waits for a connection would arrive after the
+        news; it has not been sent, so the module may place it anew."""
+        self.open_to_new = False
+        self.close_idle()
+        for attempt in list(self.waiting):
+            attempt.end(Status.CONNECT_FAILED)
+
+
+class Connection(asyncio.Protocol):
+    """One connection, one attempt at a time."""
+
+    def __init__(self, owner: Endpoints, pool: Pool) -> None:
+        self._owner, self._pool = owner, pool
+        self._attempt: Attempt | None = None
+        self._parser = http1.ResponseParser()
+        self._transport: asyncio.Transport | None = None
+        self.unwritten = False  # part of the request has not left for the kernel: it can't have run
+        self.idle_since = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        # With no room in the buffer, pause and resume tell exactly whether anything is left in it.
+        transport.set_write_buffer_limits(high=0)
+        self._owner.connections.add(self)
+
+    def pause_writing(self) -> None:
+        self.unwritten = True
+
+    def resume_writing(self) -> None:
+        self.unwritten = False
+
+    def fresh(self) -> bool:
+        """Danger: an idle connection may have been closed by the endpoint a moment ago, with the news still
+        unread in the kernel. A request written to it would end as a reset, which proves nothing."""
+        assert self._transport
+        if self._transport.is_closing():
+            return False
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+    def start(self, attempt: Attempt, data: bytes) -> None:
+        assert self._transport
+        self._attempt, attempt.connection = attempt, self
+        self._parser = http1.ResponseParser()
+        self._transport.write(data)
+        # A write that fails at once leaves nothing in the buffer: the closing transport is what tells.
+        self.unwritten = self.unwritten or self._transport.is_closing()
+
+    def data_received(self, data: bytes) -> None:
+        if self._attempt is None:
+            self.discard()  # nobody asked
+            return
+        response = self._parser.feed(data)
+        if response:
+            self._answered(response)
+        elif self._parser.broken:
+            self._end(Status.CONNECT_FAILED if self.unwritten else Status.RESET)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._owner.connections.discard(self)
+        if self in self._pool.idle:
+            self._pool.idle.remove(self)
+        if self._attempt is None:
+            return
+        response = self._parser.end() if exc is None else None
+        if response:
+            self._answered(response)
+        else:
+            self._end(Status.CONNECT_FAILED if self.unwritten else Status.RESET)
+
+    def _answered(self, response: http1.Response) -> None:
+        status = Status.ERROR
+        if response.status == 200:
+            status = Status.OK
+        elif response.status in (503, 504) and response.headers.get(b"x-never-ran", b"").strip() == b"1":
+            status = Status.FULL
+        reusable = response.keep_alive and not self.unwritten
+        self._end(status, response, reusable)
+
+    def _end(self, status: Status, response: http1.Response | None = None, reusable: bool = False) -> None:
+        attempt, self._attempt = self._attempt, None
+        assert attempt
+        attempt.connection = None
+        if response:
+            attempt.load = http1.parse_load(
+                response.headers.get(b"endpoint-load-metrics"), self._owner.columns
+            )
+        if reusable:
+            self._owner.release(self, self._pool)
+        else:
+            self.discard()
+        attempt.end(status, response)
+
+    def discard(self) -> None:
+        """Close without flushing: the rest of a given-up request must not leave."""
+        self._attempt = None
+        self._owner.connections.discard(self)
+        if self._transport:
+            self._transport.abort()
+
+
+class Endpoints:
+    """All endpoints by the driver's numbers."""
+
+    def __init__(
+        self, columns: tuple[str, ...], connect_timeout_ns: int, keepalive_ns: int, most: int
+    ) -> None:
+        self.columns = columns
+        self._connect_timeout_s = connect_timeout_ns / 1e9 or 1.0
+        self._idle_s = keepalive_ns / 1e9 * IDLE_SHARE
+        self._most = most
+        self._opening = 0
+        self._pools: dict[int, Pool] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.connections: set[Connection] = set()
+
+    def update(self, number: int, address: Address, started_ns: int, open_to_new: bool) -> None:
+        pool = self._pools.get(number)
+        if pool and (pool.address, pool.started_ns) == (address, started_ns):
+            if open_to_new:
+                pool.open_to_new = True
+            elif pool.open_to_new:
+                pool.retire()
+            return
+        # Danger: connections of a process that is no more end as resets.
+        if pool:
+            pool.retire()
+        self._pools[number] = Pool(address, started_ns, open_to_new)
+
+    def remove(self, number: int) -> None:
+        if pool := self._pools.pop(number, None):
+            pool.retire()
+
+    def send(self, attempt: Attempt) -> None:
+        """Start an attempt. It may end before this returns."""
+        pool = self._pools.get(attempt.endpoint)
+        if pool is None or not pool.open_to_new:  # rule 3, whatever was decided
+            attempt.end(Status.MOOT)
+            return
+        while pool.idle:
+            connection = pool.idle.pop()
+            if connection.fresh():
+                self._start(connection, pool, attempt)
+                return
+            connection.discard()
+        if len(self.connections) + self._opening >= self._most and not self._evict():
+            attempt.end(Status.CONNECT_FAILED)
+            return
+        self._opening += 1
+        pool.waiting.add(attempt)
+        task = asyncio.get_running_loop().create_task(self._open(pool, attempt))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _open(self, pool: Pool, attempt: Attempt) -> None:
+        connection: Connection | None = None
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(self._connect_timeout_s):
+                _, connection = await loop.create_connection(lambda: Connection(self, pool), *pool.address)
+        except (OSError, TimeoutError):
+            pass
+        finally:
+            self._opening -= 1
+            pool.waiting.discard(attempt)
+        if connection is None:
+            attempt.end(Status.CONNECT_FAILED)
+        elif attempt.status is not None:  # given up meanwhile; the handshake is paid for
+            self.release(connection, pool)
+        else:
+            self._start(connection, pool, attempt)
+
+    def _start(self, connection: Connection, pool: Pool, attempt: Attempt) -> None:
+        left_ms = max(1, (attempt.deadline_ns - time.monotonic_ns()) // 1_000_000)
+        headers = {
+            name: attempt.request.headers[key]
+            for key, name in FORWARDED.items()
+            if key in attempt.request.headers
+        }
+        headers[b"X-Expires-In-Ms"] = b"%d" % left_ms
+        host = f"{pool.address.host}:{pool.address.port}".encode()
+        connection.start(attempt, http1.encode_request(attempt.request, host, headers))
+
+    def release(self, connection: Connection, pool: Pool) -> None:
+        if pool.open_to_new and len(pool.idle) < MAX_IDLE and connection.fresh():
+            connection.idle_since = time.monotonic()
+            pool.idle.append(connection)
+        else:
+            connection.discard()
+
+    def close_idle(self, number: int) -> None:
+        if pool := self._pools.get(number):
+            pool.close_idle()
+
+    def _evict(self) -> bool:
+        """Make room for one more connection by closing the one that has been idle longest."""
+        pools = [p for p in self._pools.values() if p.idle]
+        if not pools:
+            return False
+        min(pools, key=lambda p: p.idle[0].idle_since).idle.pop(0).discard()
+        return True
+
+    async def sweep(self) -> None:
+        """Close idle connections well before the endpoint does."""
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            oldest = time.monotonic() - self._idle_s
+            for pool in self._pools.values():
+                while pool.idle and pool.idle[0].idle_since < oldest:
+                    pool.idle.pop(0).discard()
--- /dev/null
+++ b/anisespool/sidecar.py
@@ -0,0 +1,286 @@
+"""The driver: events to the decision module, its actions to sockets and timers. It decides nothing; it
+knows who is still owed an answer."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+import traceback
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple
+
+from anisespool import http1
+from anisespool.config import Config, MemberList
+from anisespool.endpoints import Attempt, Endpoints
+from shuntlead import Balancer
+from shuntlead import interface as api
+from shuntlead.interface import EndpointState, RosterForm, Status
+
+ANSWER_RESERVE_NS = 10_000_000  # for the answer's way out: a client that has hung up was not answered
+BACKSTOP_NS = 4_000_000  # the last moment at which the driver answers by itself
+QUIET_S = 1.0  # between two tracebacks in the log
+
+
+class Answer(NamedTuple):
+    """A final answer to the client."""
+
+    status: int
+    body: bytes = b""
+    retry_after_s: float = 0.0
+
+
+class Call(NamedTuple):
+    """A request as the server read it, in the module's terms."""
+
+    request: http1.Request
+    cls: int
+    tenant: int
+    left_ns: int
+    hint_ns: int | None
+    key: int
+    is_retry: bool
+
+
+class _Exchange:
+    """A request from its arrival until its last attempt has ended."""
+
+    __slots__ = ("attempts", "backstop", "call", "deadline_ns", "reply")
+
+    def __init__(self, call: Call, deadline_ns: int, reply: Callable[[Answer], None]) -> None:
+        self.call, self.deadline_ns = call, deadline_ns
+        self.reply: Callable[[Answer], None] | None = reply  # None: answered, or nobody waits
+        self.attempts: list[Attempt] = []
+        self.backstop: asyncio.TimerHandle | None = None
+
+
+class Sidecar:
+    def __init__(self, config: Config, endpoints: Endpoints) -> None:
+        self._balancer = Balancer(config.settings, config.seed)
+        self._endpoints = endpoints
+        self._exchanges: dict[int, _Exchange] = {}
+        self._numbers: dict[str, int] = {}  # endpoint id -> its number; one that is gone never returns
+        self._ready: set[int] = set()
+        self._next_request = self._next_number = 0
+        self._events: deque[api.Event] = deque()
+        self._handling = False
+        self._complained_at = 0.0
+        self._actions: dict[type, Callable[..., None]] = {
+            api.Send: self._send, api.Refuse: self._refuse, api.Fail: self._fail, api.Cancel: self._cancel,
+            api.SetTimer: self._set_timer, api.Log: self._log, api.Fault: self._log,
+            api.CloseIdle: self._close_idle}  # fmt: skip
+
+    @property
+    def ready(self) -> bool:
+        """Requests can be served: discovery has named an endpoint."""
+        return bool(self._ready)
+
+    @property
+    def owing(self) -> int:
+        """Requests taken and not answered."""
+        return sum(exchange.reply is not None for exchange in self._exchanges.values())
+
+    # From the application -------------------------------------------------------------------------
+
+    def take(self, call: Call, reply: Callable[[Answer], None]) -> int:
+        """A request has come; `reply` is called once, maybe before this returns."""
+        self._next_request += 1
+        request_id, now = self._next_request, time.monotonic_ns()
+        left_ns = max(0, call.left_ns - ANSWER_RESERVE_NS)
+        exchange = self._exchanges[request_id] = _Exchange(call, now + left_ns, reply)
+        loop = asyncio.get_running_loop()
+        last = now + max(0, call.left_ns - BACKSTOP_NS)
+        exchange.backstop = loop.call_at(last / 1e9, self._overdue, request_id)
+        event = api.Request(request_id, call.cls, left_ns, call.hint_ns, call.key, call.tenant, call.is_retry)
+        self._handle(event)
+        return request_id
+
+    def client_gone(self, request_id: int) -> None:
+        exchange = self._exchanges.get(request_id)
+        if exchange and exchange.reply:
+            self._close(exchange)
+            self._handle(api.ClientGone(request_id))
+            self._abandon(request_id, exchange)
+
+    # From discovery -------------------------------------------------------------------------------
+
+    def listed(self, update: MemberList, form: RosterForm | None = None) -> None:
+        """The connections learn of it first, so that nothing decided next reaches an endpoint that drains.
+        Danger: that ends attempts, and the module would place them anew by the list it had before; so it
+        hears of the list ahead of them."""
+        form = form or (RosterForm.FULL if update.complete else RosterForm.DELTA)
+        self._handling = True
+        try:
+            rows = self._apply(update, form)
+        finally:
+            self._handling = False
+        self._events.appendleft(api.Roster(update.revision, form, tuple(rows)))
+        self._drain()
+
+    def _apply(self, update: MemberList, form: RosterForm) -> list[api.Listed]:
+        if form is not RosterForm.DELTA:
+            for absent in self._numbers.keys() - {member.id for member in update.members}:
+                self._drop(absent)
+        rows = []
+        for member in update.members:
+            if member.id not in self._numbers:
+                self._next_number += 1
+                self._numbers[member.id] = self._next_number
+            number = self._numbers[member.id]
+            rows.append(member.row._replace(endpoint=number))
+            if member.row.state == EndpointState.GONE:
+                self._drop(member.id)
+                continue
+            up = member.row.state == EndpointState.READY
+            self._endpoints.update(number, member.address, member.row.started_ns, up)
+            (self._ready.add if up else self._ready.discard)(number)
+        return rows
+
+    def _drop(self, member_id: str) -> None:
+        number = self._numbers.pop(member_id)
+        self._ready.discard(number)
+        self._endpoints.remove(number)
+
+    # The module -----------------------------------------------------------------------------------
+
+    def _handle(self, event: api.Event) -> None:
+        """One event at a time: an action may end an attempt at once, and that event waits its turn."""
+        self._events.append(event)
+        if not self._handling:
+            self._drain()
+
+    def _drain(self) -> None:
+        self._handling = True
+        try:
+            while self._events:
+                self._one(self._events.popleft())
+        finally:
+            self._handling = False
+
+    def _one(self, event: api.Event) -> None:
+        try:
+            actions = self._balancer.handle(time.monotonic_ns(), event)
+        except Exception:
+            # Danger: the module's fault must cost one request, not all that are open.
+            self._complain()
+            if isinstance(event, api.Request | api.Outcome | api.ClientGone):
+                self._give_up(event.request)
+            if isinstance(event, api.Request | api.Outcome):
+                self._events.append(api.ClientGone(event.request))
+            return
+        for action in actions:
+            perform = self._actions.get(type(action))
+            if perform:  # else the settings forbid it, or the watch does it unasked
+                perform(action)
+        if isinstance(event, api.Outcome | api.ClientGone):
+            self._forget(event.request)
+
+    def _complain(self) -> None:
+        if time.monotonic() >= self._complained_at + QUIET_S:
+            self._complained_at = time.monotonic()
+            traceback.print_exc()
+
+    # Its actions ----------------------------------------------------------------------------------
+
+    def _send(self, action: api.Send) -> None:
+        exchange = self._exchanges.get(action.request)
+        if exchange is None or exchange.reply is None:
+            return  # rule 1: nothing more for a request that is over
+        now = time.monotonic_ns()
+        deadline = (
+            min(now + action.timeout_ns, exchange.deadline_ns) if action.timeout_ns else exchange.deadline_ns
+        )
+        attempt = Attempt(
+            action.request,
+            len(exchange.attempts),
+            action.endpoint,
+            exchange.call.request,
+            deadline,
+            self._ended,
+        )
+        exchange.attempts.append(attempt)
+        self._endpoints.send(attempt)
+
+    def _ended(self, attempt: Attempt) -> None:
+        exchange, status = self._exchanges[attempt.request_id], attempt.status
+        assert status is not None
+        if status is Status.OK and attempt.response and exchange.reply:
+            self._answer(exchange, Answer(200, attempt.response.body))
+            over = True
+        else:
+            over = exchange.reply is None
+        if status is Status.FULL and over:
+            status = Status.MOOT
+        took = time.monotonic_ns() - attempt.started_ns
+        self._handle(
+            api.Outcome(
+                attempt.request_id, attempt.endpoint, attempt.number, took, status, over, attempt.load
+            )
+        )
+
+    def _refuse(self, action: api.Refuse) -> None:
+        self._finish(action.request, Answer(503, b"refused\n", action.retry_after_ns / 1e9))
+
+    def _fail(self, action: api.Fail) -> None:
+        self._finish(action.request, Answer(502, b"failed\n"))
+
+    def _cancel(self, action: api.Cancel) -> None:
+        exchange = self._exchanges.get(action.request)
+        if exchange and action.attempt < len(exchange.attempts):
+            exchange.attempts[action.attempt].give_up(Status.CANCELLED)
+
+    def _set_timer(self, action: api.SetTimer) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(action.delay_ns / 1e9, self._handle, api.Timer(action.token))
+
+    def _log(self, action: api.Log | api.Fault) -> None:
+        print(action.text, file=sys.stderr)
+
+    def _close_idle(self, action: api.CloseIdle) -> None:
+        self._endpoints.close_idle(action.endpoint)
+
+    # Who is owed an answer ------------------------------------------------------------------------
+
+    def _finish(self, request_id: int, answer: Answer) -> None:
+        exchange = self._exchanges.get(request_id)
+        if exchange and exchange.reply:
+            self._answer(exchange, answer)
+            self._forget(request_id)
+
+    def _answer(self, exchange: _Exchange, answer: Answer) -> None:
+        reply = exchange.reply
+        self._close(exchange)
+        if reply:
+            reply(answer)
+
+    def _close(self, exchange: _Exchange) -> None:
+        exchange.reply = None
+        if exchange.backstop:
+            exchange.backstop.cancel()
+
+    def _forget(self, request_id: int) -> None:
+        exchange = self._exchanges.get(request_id)
+        if exchange and exchange.reply is None and all(a.status is not None for a in exchange.attempts):
+            del self._exchanges[request_id]
+
+    def _overdue(self, request_id: int) -> None:
+        """Danger: a silent module would let the client's time run out. 504 promises nothing."""
+        exchange = self._exchanges.get(request_id)
+        if exchange and exchange.reply:
+            print("driver: a request was answered 504, as the module did not end it", file=sys.stderr)
+            self._answer(exchange, Answer(504, b"no answer in time\n"))
+            self._handle(api.ClientGone(request_id))
+            self._abandon(request_id, exchange)
+
+    def _give_up(self, request_id: int) -> None:
+        exchange = self._exchanges.get(request_id)
+        if exchange:
+            self._answer(exchange, Answer(504, b"no decision\n"))
+            self._abandon(request_id, exchange)
+
+    def _abandon(self, request_id: int, exchange: _Exchange) -> None:
+        """Nobody waits: whatever the module made of it, nothing more is spent on this request."""
+        for attempt in exchange.attempts:
+            attempt.give_up(Status.CANCELLED)
+        self._forget(request_id)
