--- a/anisespool/__main__.py
+++ b/anisespool/__main__.py
@@ -7,8 +7,9 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
 
-from anisespool.config import Config, ConfigError, load
+from anisespool.config import Address, Config, ConfigError, load
 from anisespool.discovery import Watch
 from anisespool.endpoints import Endpoints
 from anisespool.server import Server
@@ -20,11 +21,9 @@
 SPARE_SOCKETS = 64  # descriptors for all but clients and endpoints
 
 
-async def run(config: Config) -> None:
+async def run(config: Config, stop: asyncio.Event, on_listening: Callable[[Address], None]) -> None:
+    """One sidecar from its start until `stop` is set and all that it took is answered."""
     loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
     settings, most = config.settings, max(8, (config.sockets - SPARE_SOCKETS) // 2)
     endpoints = Endpoints(settings.report_columns, settings.connect_timeout_ns, config.keepalive_ns, most)
     sidecar = Sidecar(config, endpoints)
@@ -32,7 +31,7 @@
     watch = Watch(config.discovery, config.names, config.known.revision, sidecar.listed)
     tasks = [loop.create_task(watch.run()), loop.create_task(endpoints.sweep())]
     server = Server(sidecar, config.names, settings, most)
-    server.listen(config.listen)
+    on_listening(server.listen(config.listen))
     gc.freeze()  # what start-up made stays for good: no collection need look at it
     await stop.wait()
     try:
@@ -44,10 +43,17 @@
         task.cancel()
 
 
+async def _until_signalled(config: Config) -> None:
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+    await run(config, stop, lambda address: None)
+
+
 def main() -> int:
     try:
         config = load(os.environ)
-        asyncio.run(run(config))
+        asyncio.run(_until_signalled(config))
     except ConfigError as error:
         print(f"anisespool: {error}", file=sys.stderr)
         return 2
--- /dev/null
+++ b/tests/test_endpoints.py
@@ -0,0 +1,273 @@
+"""How an attempt ends, on sockets: each status, and what it must never claim."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from time import monotonic_ns
+
+import pytest
+
+from anisespool.config import Address
+from anisespool.endpoints import Attempt, Endpoints
+from anisespool.http1 import Request
+from shuntlead.interface import Status
+from tests.net import OK, Endpoint, limited, reset, until
+from tests.support import MS, SECOND
+
+GET = Request(b"GET", b"/look/1?q=2", {b"x-trace-id": b"t9", b"x-other": b"no"}, b"", True)
+
+
+def answer(status: str, headers: str = "") -> bytes:
+    return f"HTTP/1.1 {status}\r\n{headers}Content-Length: 0\r\n\r\n".encode()
+
+
+class Driver:
+    """Endpoints with one of them, number 1, and the attempts made."""
+
+    def __init__(self, address: Address, keepalive_ns: int = 10 * SECOND, most: int = 16) -> None:
+        self.endpoints = Endpoints(("queue", "inflight"), 200 * MS, keepalive_ns, most)
+        self.endpoints.update(1, address, 0, True)
+        self.ends: list[Attempt] = []
+
+    def send(self, request: Request = GET, timeout_ns: int = 2 * SECOND, endpoint: int = 1) -> Attempt:
+        deadline = monotonic_ns() + timeout_ns
+        attempt = Attempt(1, 0, endpoint, request, deadline, self.ends.append)
+        self.endpoints.send(attempt)
+        return attempt
+
+    async def result(self, request: Request = GET, timeout_ns: int = 2 * SECOND) -> Attempt:
+        attempt = self.send(request, timeout_ns)
+        await until(lambda: attempt.status is not None)
+        return attempt
+
+
+@pytest.mark.parametrize(
+    ("reply", "status"),
+    [
+        (OK, Status.OK),
+        (answer("500 Oops"), Status.ERROR),
+        (answer("503 Busy"), Status.ERROR),  # without proof it may have run
+        (answer("504 Late"), Status.ERROR),
+        (answer("503 Busy", "X-Never-Ran: 1\r\n"), Status.FULL),
+        (answer("504 Late", "x-never-ran: 1\r\n"), Status.FULL),
+        (answer("500 Oops", "X-Never-Ran: 1\r\n"), Status.ERROR),
+        (answer("302 Found"), Status.ERROR),
+        (b"SSH-2.0-OpenSSH_9.2\r\n", Status.RESET),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n" + b"x" * 2_000_000, Status.RESET),
+        (b"HTTP/1.1 100 Continue\r\n\r\n" + OK, Status.OK),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", Status.OK),
+    ],
+)
+@limited
+async def test_an_answer_becomes_one_status(reply: bytes, status: Status) -> None:
+    async with Endpoint(reply).serve() as endpoint:
+        driver = Driver(endpoint.address)
+        attempt = await driver.result()
+        assert attempt.status is status
+        assert driver.ends == [attempt]
+        if status is Status.OK:
+            assert attempt.response and attempt.response.body == b"ok"
+
+
+@limited
+async def test_what_is_forwarded() -> None:
+    async with Endpoint().serve() as endpoint:
+        headers = {b"x-trace-id": b"t1", b"idempotency-key": b"k1", b"x-expires-in-ms": b"9999"}
+        await Driver(endpoint.address).result(
+            Request(b"POST", b"/once/a%20b?x=1", headers, b"\x00\xff", True), 500 * MS
+        )
+        (seen,) = endpoint.requests
+        assert (seen.method, seen.target, seen.body) == (b"POST", b"/once/a%20b?x=1", b"\x00\xff")
+        assert (seen.headers[b"x-trace-id"], seen.headers[b"idempotency-key"]) == (b"t1", b"k1")
+        assert 400 <= int(seen.headers[b"x-expires-in-ms"]) <= 500  # the attempt's own time, not the client's
+
+
+@limited
+async def test_a_load_report_comes_with_any_status() -> None:
+    report = "Endpoint-Load-Metrics: TEXT inflight=7, queue=2, util=0.61\r\n"
+    async with Endpoint(answer("500 Oops", report)).serve() as endpoint:
+        assert (await Driver(endpoint.address).result()).load == (2.0, 7.0)
+        endpoint.answer = answer("500 Oops", "Endpoint-Load-Metrics: TEXT queue=many\r\n")
+        assert (await Driver(endpoint.address).result()).load == ()
+
+
+@limited
+async def test_a_refused_connection_has_not_run() -> None:
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))  # bound, not listening: refuses
+        attempt = await Driver(Address(*unused.getsockname())).result()
+    assert attempt.status is Status.CONNECT_FAILED
+
+
+@limited
+async def test_a_connection_that_never_comes_up_has_not_run() -> None:
+    with socket.socket() as full:
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(full.getsockname())
+        driver = Driver(Address(*full.getsockname()))
+        attempt = await driver.result()  # the time for connecting ends first
+        hasty = await driver.result(timeout_ns=50 * MS)  # the attempt's own does
+        for filler in fillers:
+            filler.close()
+    assert (attempt.status, hasty.status) == (Status.CONNECT_FAILED, Status.CONNECT_FAILED)
+
+
+async def hang_up(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    writer.close()
+
+
+async def cut_off(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    writer.write(OK[:-1])
+    await writer.drain()
+    reset(writer)
+
+
+async def half_answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    writer.write(OK[:-1])
+    writer.close()
+
+
+async def say_nothing(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    await reader.read()
+
+
+@pytest.mark.parametrize("play", [hang_up, cut_off, half_answer])
+@limited
+async def test_a_connection_that_breaks_after_the_request_may_have_run(
+    play: Callable[..., object],
+) -> None:
+    async with Endpoint(play).serve() as endpoint:  # type: ignore[arg-type]
+        assert (await Driver(endpoint.address).result()).status is Status.RESET
+        assert len(endpoint.requests) == 1
+
+
+@limited
+async def test_a_connection_that_breaks_before_the_last_byte_left_has_not_run() -> None:
+    async def connected(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readexactly(10)
+        reset(writer)
+
+    # The peer reads next to nothing, so most of the request is still here when it breaks off.
+    server = await asyncio.start_server(connected, "127.0.0.1", 0, limit=16)
+    async with server:
+        big = Request(b"POST", b"/once/1", {}, b"x" * 30_000_000, True)
+        attempt = await Driver(Address(*server.sockets[0].getsockname())).result(big)
+    assert attempt.status is Status.CONNECT_FAILED
+
+
+@limited
+async def test_an_answer_that_does_not_come_times_out_and_the_connection_is_closed() -> None:
+    async with Endpoint(say_nothing).serve() as endpoint:
+        driver = Driver(endpoint.address)
+        assert (await driver.result(timeout_ns=50 * MS)).status is Status.TIMEOUT
+        await until(lambda: endpoint.ended == 1)
+        assert not driver.endpoints.connections
+
+
+@limited
+async def test_a_cancelled_attempt_closes_its_connection_and_a_late_answer_is_nothing() -> None:
+    async with Endpoint(say_nothing).serve() as endpoint:
+        driver = Driver(endpoint.address)
+        attempt = driver.send()
+        await until(lambda: len(endpoint.requests) == 1)
+        attempt.give_up(Status.CANCELLED)
+        endpoint.connections[0][1].write(OK)
+        await until(lambda: endpoint.ended == 1)
+        assert [a.status for a in driver.ends] == [Status.CANCELLED]
+
+
+@limited
+async def test_connections_are_kept_and_carry_one_request_at_a_time() -> None:
+    async with Endpoint().serve() as endpoint:
+        driver = Driver(endpoint.address)
+        for _ in range(3):
+            await driver.result()
+        assert len(endpoint.connections) == 1
+        both = [driver.send(), driver.send()]
+        await until(lambda: all(a.status is Status.OK for a in both))
+        assert len(endpoint.connections) == 2
+
+
+@limited
+async def test_nothing_is_sent_on_a_connection_that_the_endpoint_has_closed() -> None:
+    async with Endpoint().serve() as endpoint:
+        driver = Driver(endpoint.address)
+        await driver.result()
+        (connection,) = driver.endpoints.connections
+        transport = connection._transport
+        assert transport
+        # The news is in the kernel, and the loop has not read it yet: no turn of the loop in between.
+        transport.pause_reading()
+        endpoint.connections[0][1].close()
+        await until(lambda: not connection.fresh())
+        assert connection in driver.endpoints.connections
+        assert (await driver.result()).status is Status.OK
+        assert len(endpoint.requests) == 2 and len(endpoint.connections) == 2
+
+
+@limited
+async def test_idle_connections_are_closed_well_before_the_endpoint_would() -> None:
+    async with Endpoint().serve() as endpoint:
+        driver = Driver(endpoint.address, keepalive_ns=100 * MS)
+        await driver.result()
+        sweep = asyncio.create_task(driver.endpoints.sweep())
+        await until(lambda: endpoint.ended == 1)
+        sweep.cancel()
+        assert not driver.endpoints.connections
+
+
+@limited
+async def test_an_answer_with_more_behind_it_ends_the_connection() -> None:
+    async with Endpoint(OK + b"HTTP/1.1 200 OK\r\n").serve() as endpoint:
+        driver = Driver(endpoint.address)
+        assert (await driver.result()).status is Status.OK
+        assert (await driver.result()).status is Status.OK
+        assert len(endpoint.connections) == 2
+
+
+@limited
+async def test_a_drain_stops_sends_at_once_and_those_that_wait_for_a_connection() -> None:
+    async with Endpoint().serve() as endpoint:
+        driver = Driver(endpoint.address)
+        await driver.result()
+        waiting = [driver.send(), driver.send()]  # the first has the idle connection, the second waits
+        driver.endpoints.update(1, endpoint.address, 0, False)
+        assert waiting[1].status is Status.CONNECT_FAILED
+        assert driver.send().status is Status.MOOT
+        await until(lambda: waiting[0].status is Status.OK)  # it finishes what it has
+        await until(lambda: not driver.endpoints.connections)
+        assert len(endpoint.requests) == 2
+        driver.endpoints.remove(1)
+        assert driver.send().status is Status.MOOT
+
+
+@pytest.mark.parametrize("moved", [True, False])
+@limited
+async def test_a_new_start_or_address_drops_the_old_connections(moved: bool) -> None:
+    async with Endpoint().serve() as old, Endpoint().serve() as new:
+        driver = Driver(old.address)
+        await driver.result()
+        driver.endpoints.update(1, new.address if moved else old.address, 0 if moved else 5, True)
+        await until(lambda: old.ended == 1)
+        assert (await driver.result()).status is Status.OK
+        assert (len(old.requests), len(new.requests)) == ((1, 1) if moved else (2, 0))
+
+
+@limited
+async def test_connections_are_bounded_and_idle_ones_make_room() -> None:
+    async with Endpoint(say_nothing).serve() as busy, Endpoint().serve() as other:
+        driver = Driver(busy.address, most=2)
+        driver.endpoints.update(2, other.address, 0, True)
+        first = driver.send(endpoint=2)
+        await until(lambda: first.status is Status.OK)
+        held = [driver.send(), driver.send()]  # the second takes the idle one's place
+        await until(lambda: len(busy.requests) == 2)
+        await until(lambda: other.ended == 1)
+        assert driver.send().status is Status.CONNECT_FAILED
+        assert [a.status for a in held] == [None, None]
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,144 @@
+"""The program as the platform starts it: configuration, signals, and the end."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+
+import pytest
+
+from anisespool.config import Address, ConfigError, load
+from tests.net import OK, Endpoint, exchange, limited, member, raw_call, read_response, until, write_config
+
+NOWHERE = Address("127.0.0.1", 1)
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+@pytest.mark.parametrize("name", ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_CONFIG"])
+@pytest.mark.parametrize("value", ["", "nonsense"])
+def test_a_bad_variable_is_named(tmp_path: Path, name: str, value: str) -> None:
+    env = write_config(tmp_path, NOWHERE, [])
+    env[name] = value
+    if (name, value) == ("LB_NAME", "nonsense"):
+        assert load(env).name == "nonsense"
+        return
+    with pytest.raises(ConfigError, match=name) as error:
+        load(env)
+    assert "\n" not in str(error.value)
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (["settings"], None),
+        (["settings", "guarantees"], None),
+        (["settings", "guarantees", "cold-ns"], "long"),
+        (["settings", "zones"], 5),
+        (["settings", "tenants"], [{}]),
+        (["settings", "request-classes"], [{"target-ns": 1}]),
+        (["limits", "sockets"], "many"),
+        (["seed"], "xyz"),
+        (["known"], {"revision": 1}),
+    ],
+)
+def test_a_bad_key_is_named(tmp_path: Path, path: list[str], value: object) -> None:
+    env = write_config(tmp_path, NOWHERE, [])
+    file = Path(env["LB_CONFIG"])
+    raw = json.loads(file.read_text())
+    place = raw
+    for key in path[:-1]:
+        place = place[key]
+    place[path[-1]] = value
+    file.write_text(json.dumps(raw))
+    with pytest.raises(
+        ConfigError, match=path[-1] if path[-1] != "request-classes" else "deadline-ns|effect"
+    ):
+        load(env)
+
+
+def test_one_start_is_always_the_same_start_and_long_ago_stays_so(tmp_path: Path) -> None:
+    names = load(write_config(tmp_path, NOWHERE, [])).names
+    rows = [
+        names.member_list(
+            {"revision": 1, "complete": True, "members": [member("a", NOWHERE, up_since_ms=ms)]}
+        )
+        for ms in (1_700_000_000_000, 1_700_000_000_000, 0)
+    ]
+    starts = [row.members[0].row.started_ns for row in rows]
+    assert starts[0] == starts[1] > 0 and starts[2] == 0
+
+
+async def start(env: dict[str, str]) -> asyncio.subprocess.Process:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "anisespool", env=os.environ | env, stderr=asyncio.subprocess.PIPE
+    )
+    address = Address.parse(env["LB_LISTEN"])
+    while True:
+        try:
+            if (await exchange(address, b"GET /healthz HTTP/1.1\r\n\r\n")).status == 200:
+                return process
+        except OSError:
+            await asyncio.sleep(0.01)
+
+
+@limited
+async def test_a_bad_configuration_ends_the_program_with_one_line() -> None:
+    bare = {k: v for k, v in os.environ.items() if not k.startswith("LB_")}
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "anisespool", env=bare, stderr=asyncio.subprocess.PIPE
+    )
+    _, log = await process.communicate()
+    assert (process.returncode, log.count(b"\n")) == (2, 1)
+    assert b"LB_CONFIG" in log
+
+
+@limited
+async def test_sigterm_answers_all_and_ends_in_order(tmp_path: Path) -> None:
+    release = asyncio.Event()
+
+    async def held(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await release.wait()
+        writer.write(OK)
+
+    async with Endpoint(held).serve() as endpoint:
+        listen = f"127.0.0.1:{free_port()}"
+        env = write_config(tmp_path, NOWHERE, [member("s-0", endpoint.address)], listen)
+        process, address = await start(env), Address.parse(listen)
+        idle_reader, idle = await asyncio.open_connection(*address)
+        idle.write(b"GET /healthz HTTP/1.1\r\n\r\n")
+        assert (await read_response(idle_reader)).keep_alive
+        before = asyncio.create_task(exchange(address, raw_call("once")))
+        await until(lambda: len(endpoint.requests) == 1)
+        process.send_signal(signal.SIGTERM)
+        assert await idle_reader.read() == b""  # idle connections are closed while new ones still get in
+        late = asyncio.create_task(exchange(address, raw_call("once", "t2")))
+        await until(lambda: len(endpoint.requests) == 2)
+        release.set()
+        answers = [await before, await late]
+        assert [(a.status, a.headers.get(b"connection")) for a in answers] == [(200, b"close")] * 2
+        _, log = await process.communicate()
+        assert (process.returncode, b"Traceback" in log) == (0, False)
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection(*address)
+
+
+@limited
+async def test_a_connection_that_says_nothing_does_not_hold_up_the_end(tmp_path: Path) -> None:
+    async with Endpoint().serve() as endpoint:
+        listen = f"127.0.0.1:{free_port()}"
+        process = await start(write_config(tmp_path, NOWHERE, [member("s-0", endpoint.address)], listen))
+        _, silent = await asyncio.open_connection(*Address.parse(listen))
+        process.send_signal(signal.SIGTERM)
+        await process.communicate()
+        assert process.returncode == 0
+        silent.close()
--- /dev/null
+++ b/tests/test_sidecar.py
@@ -0,0 +1,353 @@
+"""The whole sidecar on sockets: one final answer for every request, whatever the peers do."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from time import monotonic
+from typing import Any
+
+import pytest
+
+from anisespool.config import load
+from anisespool.endpoints import Endpoints
+from anisespool.sidecar import Answer, Call, Sidecar
+from shuntlead import interface as api
+from shuntlead.interface import RosterForm
+from tests.net import (
+    OK,
+    Endpoint,
+    exchange,
+    limited,
+    member,
+    member_list,
+    raw_call,
+    read_response,
+    reset,
+    until,
+    world,
+    write_config,
+)
+from tests.support import MS, SECOND
+from tests.test_endpoints import GET, answer, hang_up, say_nothing
+
+NEVER_RAN = answer("503 Busy", "X-Never-Ran: 1\r\n")
+
+
+def slow(seconds: float) -> Callable[..., Any]:
+    async def play(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(seconds)
+        writer.write(OK)
+
+    return play
+
+
+@limited
+async def test_a_served_body_passes_unchanged(tmp_path: Path) -> None:
+    body = bytes(range(256)) * 256
+    reply = b"HTTP/1.1 200 OK\r\nX-Own: 1\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+    async with Endpoint(reply).serve() as endpoint, world(tmp_path, endpoint) as sidecar:
+        response = await exchange(sidecar.address, raw_call("once", body=b"x" * 65536))
+        assert (response.status, response.body) == (200, body)
+        assert endpoint.requests[0].body == b"x" * 65536
+        assert endpoint.requests[0].target == b"/once/00ab?q=1"
+
+
+@pytest.mark.parametrize(
+    ("cls", "reply", "attempts", "status"),
+    [
+        ("once", NEVER_RAN, 3, 503),  # known not to have run: others are tried, then a retry is harmless
+        ("once", answer("500 Oops"), 1, 502),  # may have run: nothing more is sent, nothing promised
+        ("once", answer("503 Busy"), 1, 502),
+        ("once", hang_up, 1, 502),
+        ("look", answer("500 Oops"), 3, 503),
+        ("look", hang_up, 3, 503),
+    ],
+)
+@limited
+async def test_what_may_have_run_is_sent_again_only_as_its_class_allows(
+    tmp_path: Path, cls: str, reply: Any, attempts: int, status: int
+) -> None:
+    first, second = Endpoint(reply), Endpoint(reply)
+    async with first.serve(), second.serve(), world(tmp_path, first, second) as sidecar:
+        assert (await exchange(sidecar.address, raw_call(cls))).status == status
+        assert len(first.requests) + len(second.requests) == attempts
+
+
+@limited
+async def test_an_unsafe_request_that_gets_no_answer_fails_in_time(tmp_path: Path) -> None:
+    async with Endpoint(say_nothing).serve() as endpoint, world(tmp_path, endpoint) as sidecar:
+        began = monotonic()
+        response = await exchange(sidecar.address, raw_call("once", left_ms=150))
+        assert response.status == 502
+        assert 0.1 < monotonic() - began < 0.15
+        await until(lambda: endpoint.ended == 1)
+
+
+@limited
+async def test_no_time_left_is_answered_at_once(tmp_path: Path) -> None:
+    async with Endpoint().serve() as endpoint, world(tmp_path, endpoint) as sidecar:
+        assert (await exchange(sidecar.address, raw_call("once", left_ms=0))).status == 503
+        assert not endpoint.requests
+
+
+@limited
+async def test_a_client_that_goes_away_ends_its_attempt(tmp_path: Path) -> None:
+    async with Endpoint(say_nothing).serve() as endpoint, world(tmp_path, endpoint) as sidecar:
+        for leave in (lambda w: w.close(), reset):
+            before = len(endpoint.requests)
+            _, writer = await asyncio.open_connection(*sidecar.address)
+            writer.write(raw_call("once"))
+            await until(lambda n=before: len(endpoint.requests) == n + 1)  # type: ignore[misc]
+            leave(writer)
+            await until(lambda n=before: endpoint.ended == n + 1)  # type: ignore[misc]
+
+
+@limited
+async def test_requests_arrive_in_pieces_and_in_bunches(tmp_path: Path) -> None:
+    async with Endpoint().serve() as endpoint, world(tmp_path, endpoint) as sidecar:
+        reader, writer = await asyncio.open_connection(*sidecar.address)
+        for byte in raw_call("once", body=b"abc"):
+            writer.write(bytes((byte,)))
+            await writer.drain()
+        assert (await read_response(reader)).status == 200
+        writer.write(
+            raw_call("once", "t2", body=b"12") + raw_call("look", "t3") + b"GET /healthz HTTP/1.1\r\n\r\n"
+        )
+        replies = b""
+        while replies.count(b"HTTP/1.1 200 OK") < 3:
+            replies += await reader.read(65536)
+        assert [r.headers[b"x-trace-id"] for r in endpoint.requests] == [b"t1", b"t2", b"t3"]
+        assert [r.body for r in endpoint.requests] == [b"abc", b"12", b""]
+        writer.close()
+
+
+@limited
+async def test_a_half_written_request_is_not_taken(tmp_path: Path) -> None:
+    async with Endpoint().serve() as endpoint, world(tmp_path, endpoint) as sidecar:
+        _, writer = await asyncio.open_connection(*sidecar.address)
+        writer.write(raw_call("once", body=b"abc")[:-1])
+        writer.close()
+        assert (await exchange(sidecar.address, raw_call())).status == 200
+        assert len(endpoint.requests) == 1
+
+
+BIG = "X-Filler: " + "x" * 20000 + "\r\n"
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03", 400),
+        (b"GET /look/1\r\n\r\n", 400),
+        (raw_call().replace(b"HTTP/1.1", b"HTTP/9.9"), 400),
+        (raw_call("once", headers="Content-Length: 5\r\nTransfer-Encoding: chunked\r\n"), 400),
+        (raw_call("once").replace(b"Content-Length: 0", b"Content-Length: -4"), 400),
+        (raw_call().replace(b"X-Trace-Id: t1\r\n", b""), 400),
+        (raw_call().replace(b"2000", b"soon"), 400),
+        (raw_call().replace(b"2000", b"9" * 30), 400),
+        (raw_call().replace(b"/look/", b"/nothing/"), 404),
+        (raw_call().replace(b"/look/00ab?q=1", b"/"), 404),
+        (raw_call("once").replace(b"Content-Length: 0", b"Content-Length: 65537"), 413),
+        (raw_call("once").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked") + b"10001\r\n", 413),
+        (raw_call(headers=BIG), 413),
+        (raw_call().replace(b"/look/", b"/look/" + b"x" * 20000), 413),
+    ],
+)
+@limited
+async def test_what_is_no_request_is_answered_and_nothing_is_sent(
+    tmp_path: Path, capfd: pytest.CaptureFixture[str], data: bytes, status: int
+) -> None:
+    async with Endpoint().serve() as endpoint, world(tmp_path, endpoint) as sidecar:
+        if b"10001\r\n" in data:
+            data += b"x" * 0x10001
+        assert (await exchange(sidecar.address, data)).status == status
+        assert (await exchange(sidecar.address, raw_call())).status == 200
+        assert len(endpoint.requests) == 1
+    assert "Traceback" not in capfd.readouterr().err
+
+
+@limited
+async def test_healthz_tells_whether_requests_can_be_served(tmp_path: Path) -> None:
+    health = b"GET /healthz HTTP/1.1\r\n\r\n"
+    async with Endpoint().serve() as endpoint, world(tmp_path) as sidecar:
+        assert (await exchange(sidecar.address, health)).status == 503
+        await until(lambda: bool(sidecar.discovery.watches))
+        sidecar.discovery.say(member_list(2, [member("s-1", endpoint.address)]))
+        while (await exchange(sidecar.address, health)).status != 200:
+            pass
+        assert (await exchange(sidecar.address, raw_call())).status == 200
+
+
+@limited
+async def test_a_drain_moves_what_comes_next_and_leaves_what_is_there(tmp_path: Path) -> None:
+    old, new = Endpoint(slow(0.2)), Endpoint()
+    async with old.serve(), new.serve(), world(tmp_path, old) as sidecar:
+        await until(lambda: bool(sidecar.discovery.watches))
+        running = asyncio.create_task(exchange(sidecar.address, raw_call("once")))
+        await until(lambda: len(old.requests) == 1)
+        changes = [member("s-0", old.address, "draining"), member("s-9", new.address)]
+        sidecar.discovery.say(member_list(2, changes, complete=False))
+        while not new.requests:
+            await exchange(sidecar.address, raw_call("once"))
+        before = len(old.requests)
+        for _ in range(5):
+            assert (await exchange(sidecar.address, raw_call("once"))).status == 200
+        assert len(old.requests) == before
+        assert (await running).status == 200
+
+
+@limited
+async def test_the_watch_survives_bad_lines_and_ends_and_takes_up_where_it_was(tmp_path: Path) -> None:
+    old, new = Endpoint(), Endpoint()
+    async with old.serve(), new.serve(), world(tmp_path, old) as sidecar:
+        watch = sidecar.discovery
+        await until(lambda: len(watch.watches) == 1)
+        assert watch.targets == [b"/v1/servers?stream=1&index=1"]
+        bad: list[Any] = [None, 7, [], {"revision": 3}, member_list(3, [{"id": "x"}])]
+        bad += [member_list(3, [member("x", old.address, phase)]) for phase in ("odd", "")]
+        for line in (b"", b"{nonsense", b"\xff\xfe", b"[" * 100_000, *(json.dumps(b).encode() for b in bad)):
+            watch.say(line)
+        watch.say(member_list(7, [member("s-0", old.address, "draining")], complete=False))
+        await until(lambda: old.ended == len(old.connections))
+        watch.watches[-1].transport.abort()
+        await until(lambda: len(watch.watches) == 2)
+        assert watch.targets[1] == b"/v1/servers?stream=1&index=7"
+        watch.say({"revision": 8, "complete": False, "members": [{"id": "s-0", "phase": "removed"}]})
+        watch.say(member_list(9, [member("s-9", new.address)], complete=True))
+        while (await exchange(sidecar.address, raw_call("once", left_ms=50))).status != 200:
+            pass
+        assert new.requests
+
+
+class Module:
+    """In the place of the decision module: does what the test says."""
+
+    def __init__(self, decide: Callable[[api.Event], list[api.Action]]) -> None:
+        self.decide = decide
+        self.events: list[api.Event] = []
+
+    def handle(self, now: int, event: api.Event) -> list[api.Action]:
+        self.events.append(event)
+        return self.decide(event)
+
+    def outcomes(self) -> list[api.Outcome]:
+        return [e for e in self.events if isinstance(e, api.Outcome)]
+
+
+class Driven:
+    """The driver with a stand-in for the module, and what its clients were answered."""
+
+    def __init__(self, sidecar: Sidecar, module: Module) -> None:
+        self.sidecar, self.module = sidecar, module
+        self.answers: list[Answer] = []
+
+    def take(self, cls: int = 2, left_ns: int = SECOND) -> int:
+        return self.sidecar.take(Call(GET, cls, 0, left_ns, None, 0, False), self.answers.append)
+
+
+@asynccontextmanager
+async def driven(
+    folder: Path, endpoint: Endpoint, decide: Callable[[api.Event], list[api.Action]]
+) -> AsyncIterator[Driven]:
+    config = load(write_config(folder, endpoint.address, [member("s-0", endpoint.address)]))
+    sidecar = Sidecar(config, Endpoints(("queue",), 100 * MS, SECOND, 16))
+    module = Module(decide)
+    sidecar._balancer = module  # type: ignore[assignment]
+    sidecar.listed(config.known, RosterForm.CACHED)
+    yield Driven(sidecar, module)
+
+
+def silent(event: api.Event) -> list[api.Action]:
+    return []
+
+
+def send_once(event: api.Event) -> list[api.Action]:
+    return [api.Send(event.request, 1)] if isinstance(event, api.Request) else []
+
+
+@limited
+async def test_the_driver_answers_for_a_silent_module_in_time(tmp_path: Path) -> None:
+    async with Endpoint(say_nothing).serve() as endpoint, driven(tmp_path, endpoint, send_once) as it:
+        began = monotonic()
+        it.take(left_ns=100 * MS)
+        await until(lambda: bool(it.answers))
+        assert it.answers[0].status == 504 and monotonic() - began < 0.1
+        assert any(isinstance(e, api.ClientGone) for e in it.module.events)
+        await until(lambda: endpoint.ended == len(endpoint.connections))
+        assert not it.sidecar._exchanges
+
+
+@limited
+async def test_a_module_that_raises_costs_one_request(
+    tmp_path: Path, capfd: pytest.CaptureFixture[str]
+) -> None:
+    def decide(event: api.Event) -> list[api.Action]:
+        if isinstance(event, api.Request | api.Outcome) and event.request == 1:
+            raise RuntimeError("no idea")
+        return send_once(event)
+
+    async with Endpoint().serve() as endpoint, driven(tmp_path, endpoint, decide) as it:
+        it.take()
+        assert [a.status for a in it.answers] == [504]
+        it.take()
+        await until(lambda: len(it.answers) == 2)
+        assert it.answers[1].status == 200 and it.sidecar.owing == 0
+    assert "no idea" in capfd.readouterr().err
+
+
+@limited
+async def test_nothing_follows_the_final_answer(tmp_path: Path) -> None:
+    def decide(event: api.Event) -> list[api.Action]:
+        if isinstance(event, api.Request):
+            n = event.request
+            return [api.Send(n, 1), api.Refuse(n, 250 * MS), api.Fail(n), api.Send(n, 1), api.Cancel(n, 0)]
+        return []
+
+    async with Endpoint().serve() as endpoint, driven(tmp_path, endpoint, decide) as it:
+        it.take()
+        await until(lambda: bool(it.module.outcomes()))
+        assert it.answers == [Answer(503, b"refused\n", 0.25)]
+        assert len(it.module.outcomes()) == 1 and it.module.outcomes()[0].finished
+        assert not it.sidecar._exchanges
+
+
+@limited
+async def test_of_two_attempts_the_first_answer_counts_and_both_outcomes_are_told(tmp_path: Path) -> None:
+    def decide(event: api.Event) -> list[api.Action]:
+        return (
+            [api.Send(event.request, 1), api.Send(event.request, 1)] if isinstance(event, api.Request) else []
+        )
+
+    async with Endpoint().serve() as endpoint, driven(tmp_path, endpoint, decide) as it:
+        it.take()
+        await until(lambda: len(it.module.outcomes()) == 2)
+        assert it.answers == [Answer(200, b"ok")]
+        assert [o.finished for o in it.module.outcomes()] == [True, True]
+        assert sorted(o.attempt for o in it.module.outcomes()) == [0, 1]
+
+
+@limited
+async def test_turned_away_when_the_request_is_over_is_moot(tmp_path: Path) -> None:
+    async with Endpoint(NEVER_RAN).serve() as endpoint, driven(tmp_path, endpoint, send_once) as it:
+        it.sidecar.client_gone(it.take())
+        it.take()
+        await until(lambda: len(it.module.outcomes()) == 2)
+        statuses = {o.request: o.status for o in it.module.outcomes()}
+        assert statuses[2] is api.Status.FULL
+        assert not it.answers
+
+
+@limited
+async def test_the_module_hears_of_a_drain_before_the_attempts_that_it_ends(tmp_path: Path) -> None:
+    async with Endpoint().serve() as endpoint, driven(tmp_path, endpoint, send_once) as it:
+        it.take()
+        raw = member_list(2, [member("s-0", endpoint.address, "draining")], complete=False)
+        config = load(write_config(tmp_path, endpoint.address, []))
+        it.sidecar.listed(config.names.member_list(raw))
+        first, second = it.module.events[-2:]
+        assert isinstance(first, api.Roster) and isinstance(second, api.Outcome)
+        assert second.status is api.Status.CONNECT_FAILED and not endpoint.requests
