Do not trust idle connections to an endpoint that has gone silent

Checked: a loopback test with an endpoint that answers, then says nothing, fails without the change (the idle connection stays in use) and passes with it; an endpoint that answers others meanwhile keeps its connections. To blame: Attempt.give_up, which closed only its own connection.

--- a/anisespool/endpoints.py
+++ b/anisespool/endpoints.py
@@ -49,6 +49,8 @@
         if self.status is not None:
             return
         connection, self.connection = self.connection, None
+        if connection and status is Status.TIMEOUT:
+            connection.suspect(self.started_ns)
         unsent = connection is None or connection.unwritten
         if connection:
             connection.discard()
@@ -60,6 +62,7 @@
 
     def __init__(self, address: Address, started_ns: int, open_to_new: bool) -> None:
         self.address, self.started_ns, self.open_to_new = address, started_ns, open_to_new
+        self.heard_ns = 0  # when anything last came from it
         self.idle: list[Connection] = []  # the latest used last
         self.waiting: set[Attempt] = set()  # for a connection of their own
 
@@ -119,7 +122,15 @@
         # A write that fails at once leaves nothing in the buffer: the closing transport is what tells.
         self.unwritten = self.unwritten or self._transport.is_closing()
 
+    def suspect(self, since_ns: int) -> None:
+        """Danger: a machine that vanished leaves its connections open. A request written to an idle one
+        would be lost to a time-out, or to a reset when the machine is back, and an unsafe one with it; a
+        new connection that does not come up proves that nothing ran."""
+        if self._pool.heard_ns < since_ns:
+            self._pool.close_idle()
+
     def data_received(self, data: bytes) -> None:
+        self._pool.heard_ns = time.monotonic_ns()
         if self._attempt is None:
             self.discard()  # nobody asked
             return
@@ -231,7 +242,10 @@
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 _, connection = await loop.create_connection(lambda: Connection(self, pool), *pool.address)
-        except (OSError, TimeoutError):
+        except TimeoutError:
+            if pool.heard_ns < attempt.started_ns:
+                pool.close_idle()  # as for Connection.suspect
+        except OSError:
             pass
         finally:
             self._opening -= 1
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -271,3 +271,25 @@
         await until(lambda: other.ended == 1)
         assert driver.send().status is Status.CONNECT_FAILED
         assert [a.status for a in held] == [None, None]
+
+
+@pytest.mark.parametrize("heard", [False, True])
+@limited
+async def test_after_silence_the_idle_connections_are_not_trusted(heard: bool) -> None:
+    """Of a vanished machine nothing is heard; a slow one goes on answering others, and keeps them."""
+
+    async def first_waits(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if endpoint.requests[-1].target != b"/look/slow":
+            writer.write(OK)
+
+    async with Endpoint(first_waits).serve() as endpoint:
+        driver = Driver(endpoint.address)
+        pair = [driver.send(), driver.send()]
+        await until(lambda: all(a.status is Status.OK for a in pair))
+        stuck = driver.send(GET._replace(target=b"/look/slow"), 200 * MS)
+        await until(lambda: len(endpoint.requests) == 3)
+        if heard:
+            await driver.result()
+        await until(lambda: stuck.status is Status.TIMEOUT)
+        await until(lambda: endpoint.ended == (1 if heard else 2))
+        assert len(driver.endpoints.connections) == (1 if heard else 0)
