Pause accepting without descriptors; bound the wait for half-written requests at the end

Read off the code and confirmed by tests over loopback that fail without it: with no descriptor left the listener stays readable, and accept was tried again at once for ever; at SIGTERM a half-written request held the end up for 4 s, past the platform's kill. To blame: Server._accept, Server.stop. An answer still on its way out is now waited for as well. The log says which id and address an endpoint's number stands for: the module names numbers only.

--- a/anisespool/server.py
+++ b/anisespool/server.py
@@ -7,7 +7,7 @@
 import socket
 import sys
 from collections import deque
-from collections.abc import Callable
+from contextlib import suppress
 from http import HTTPStatus
 from urllib.parse import unquote_to_bytes
 
@@ -18,6 +18,8 @@
 
 BACKLOG = 512
 MOST_PIPELINED = 8  # requests read ahead on one connection
+HALF_WRITTEN_S = 1.0  # after the listener has closed
+ACCEPT_PAUSE_S = 0.05  # with no descriptor left
 LINGER_S = 1.0  # to let a client read why it was cut off
 LONGEST_WAIT_MS = 3_600_000
 
@@ -82,7 +84,13 @@
 
     @property
     def idle(self) -> bool:
-        return not (self._busy or self._queue or self._parser.partial)
+        """Between requests, and nothing on its way out."""
+        return not (self._closing or self._busy or self._queue or self._parser.partial)
+
+    @property
+    def owed(self) -> bool:
+        """Its end must wait: a request is being answered, or an answer is still on its way out."""
+        return self._closing or self._busy or bool(self._queue)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -163,7 +171,7 @@
             asyncio.get_running_loop().call_later(LINGER_S, self._transport.abort)
 
     def close_if_idle(self) -> None:
-        if self.idle and not self._closing and self._transport:
+        if self.idle and self._transport:
             self._closing = True
             self._transport.close()
 
@@ -177,7 +185,7 @@
         self.stopping = False
         self._most = most
         self._listener: socket.socket | None = None
-        self._accepting: set[asyncio.Task[object]] = set()
+        self._accepting: set[asyncio.Task[None]] = set()
 
     @property
     def crowded(self) -> bool:
@@ -191,7 +199,7 @@
         listener.bind(address)
         listener.listen(BACKLOG)
         self._listener = listener
-        asyncio.get_running_loop().add_reader(listener, self._accept)
+        self._watch_listener()
         return Address(*listener.getsockname())
 
     def _accept(self) -> None:
@@ -201,16 +209,26 @@
                 connected, _ = self._listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionError):
                 return
-            except OSError as error:  # no descriptor left: those queued wait
+            except OSError as error:
+                # Danger: with no descriptor left the listener stays readable, and the loop would spin.
                 print(f"server: {error}", file=sys.stderr)
+                loop.remove_reader(self._listener)
+                loop.call_later(ACCEPT_PAUSE_S, self._watch_listener)
                 return
             connected.setblocking(False)
-            connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            factory: Callable[[], ClientConnection] = lambda: ClientConnection(self)  # noqa: E731
-            task = loop.create_task(loop.connect_accepted_socket(factory, connected))
+            task = loop.create_task(self._serve(connected))
             self._accepting.add(task)
             task.add_done_callback(self._accepting.discard)
 
+    def _watch_listener(self) -> None:
+        if self._listener:
+            asyncio.get_running_loop().add_reader(self._listener, self._accept)
+
+    async def _serve(self, connected: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        with suppress(OSError):  # it may be reset by now
+            await loop.connect_accepted_socket(lambda: ClientConnection(self), connected)
+
     async def stop(self, accept_s: float) -> None:
         """A planned restart: go on accepting for a while, then answer what was taken, and end."""
         self.stopping = True
@@ -225,8 +243,10 @@
             self._listener = None
         if self._accepting:
             await asyncio.wait(self._accepting)
-        await asyncio.sleep(0.02)  # what those have sent is read
-        while self.connections and (self.sidecar.owing or not all(c.idle for c in self.connections)):
+        # A request may be on its way in on any of those; a half-written one gets no longer than this.
+        half_written = loop.time() + HALF_WRITTEN_S
+        await asyncio.sleep(0.02)
+        while any(c.owed or not c.idle and loop.time() < half_written for c in self.connections):
             await asyncio.sleep(0.01)
         self._close_idle()
         await asyncio.sleep(0)
--- a/anisespool/sidecar.py
+++ b/anisespool/sidecar.py
@@ -76,11 +76,6 @@
         """Requests can be served: discovery has named an endpoint."""
         return bool(self._ready)
 
-    @property
-    def owing(self) -> int:
-        """Requests taken and not answered."""
-        return sum(exchange.reply is not None for exchange in self._exchanges.values())
-
     # From the application -------------------------------------------------------------------------
 
     def take(self, call: Call, reply: Callable[[Answer], None]) -> int:
@@ -127,6 +122,8 @@
             if member.id not in self._numbers:
                 self._next_number += 1
                 self._numbers[member.id] = self._next_number
+                place = "{}:{}".format(*member.address)  # the module's lines name it by its number
+                print(f"driver: endpoint {self._next_number} is {member.id} at {place}", file=sys.stderr)
             number = self._numbers[member.id]
             rows.append(member.row._replace(endpoint=number))
             if member.row.state == EndpointState.GONE:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -142,3 +142,29 @@
         await process.communicate()
         assert process.returncode == 0
         silent.close()
+
+
+@limited
+async def test_a_half_written_request_at_sigterm_may_still_come_and_is_not_waited_for_long(
+    tmp_path: Path,
+) -> None:
+    async with Endpoint().serve() as endpoint:
+        listen = f"127.0.0.1:{free_port()}"
+        process = await start(write_config(tmp_path, NOWHERE, [member("s-0", endpoint.address)], listen))
+        reader, writer = await asyncio.open_connection(*Address.parse(listen))
+        _, never = await asyncio.open_connection(*Address.parse(listen))
+        data = raw_call("once", body=b"abc")
+        writer.write(data[:-1])
+        never.write(data[:-1])
+        assert (await exchange(Address.parse(listen), raw_call())).status == 200  # so those have been read
+        process.send_signal(signal.SIGTERM)
+        with pytest.raises(ConnectionRefusedError):
+            while True:
+                _, probe = await asyncio.open_connection(*Address.parse(listen))
+                probe.close()
+        writer.write(data[-1:])
+        response = await read_response(reader)
+        assert (response.status, response.headers[b"connection"]) == (200, b"close")
+        await process.communicate()
+        assert process.returncode == 0
+        never.close()
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -4,8 +4,11 @@
 
 import asyncio
 import json
+import os
+import resource
+import socket
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 from time import monotonic
 from typing import Any
@@ -295,7 +298,7 @@
         assert [a.status for a in it.answers] == [504]
         it.take()
         await until(lambda: len(it.answers) == 2)
-        assert it.answers[1].status == 200 and it.sidecar.owing == 0
+        assert it.answers[1].status == 200 and not it.sidecar._exchanges
     assert "no idea" in capfd.readouterr().err
 
 
@@ -351,3 +354,37 @@
         first, second = it.module.events[-2:]
         assert isinstance(first, api.Roster) and isinstance(second, api.Outcome)
         assert second.status is api.Status.CONNECT_FAILED and not endpoint.requests
+
+
+@limited
+async def test_without_descriptors_connections_wait_and_the_loop_does_not_spin(
+    tmp_path: Path, capfd: pytest.CaptureFixture[str]
+) -> None:
+    async with Endpoint().serve() as endpoint, world(tmp_path, endpoint) as sidecar:
+        assert (await exchange(sidecar.address, raw_call())).status == 200
+        reader, writer = await asyncio.open_connection(*sidecar.address)
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        client = socket.socket()
+        client.setblocking(False)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (client.fileno() + 1, hard))
+        fillers = []
+        try:
+            with suppress(OSError):
+                while True:
+                    fillers.append(os.open(os.devnull, os.O_RDONLY))
+            log, began = "", monotonic()
+            await asyncio.get_running_loop().sock_connect(client, sidecar.address)
+            writer.write(raw_call())  # what is connected is served all the while
+            assert (await read_response(reader)).status == 200
+            while log.count("Too many open files") < 3:
+                await asyncio.sleep(0.002)
+                log += capfd.readouterr().err
+            assert monotonic() - began > 0.05  # it paused between the tries
+        finally:
+            for fd in fillers:
+                os.close(fd)
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        reader, writer = await asyncio.open_connection(sock=client)
+        writer.write(raw_call())
+        assert (await read_response(reader)).status == 200
+        writer.close()
