Count the wait of requests sent ahead; keep the watch whatever goes wrong

Seen by reading, and tested on loopback: a request pipelined behind another was given its whole time from when its turn came, past its client's; methods that the protocol does not have were passed on (a HEAD would have waited for a body that never comes), now 405; an exception of any kind but an OSError would have ended the watch for good, and with it all news of drains. To blame: ClientConnection._work_on, read_call, Watch.run.

--- a/anisespool/discovery.py
+++ b/anisespool/discovery.py
@@ -6,6 +6,7 @@
 import json
 import random
 import sys
+import traceback
 from collections.abc import Callable
 
 from anisespool import http1
@@ -33,6 +34,8 @@
                 await self._watch_once()
             except (OSError, TimeoutError) as error:
                 print(f"discovery: {type(error).__name__}: {error}", file=sys.stderr)
+            except Exception:  # Danger: whatever it was, without a watch drains are missed for good
+                traceback.print_exc()
             # Jittered: all sidecars lose discovery at the same moment.
             await asyncio.sleep(self._wait_s * random.uniform(0.5, 1.0))
             self._wait_s = min(2 * self._wait_s, LONGEST_WAIT_S)
--- a/anisespool/http1.py
+++ b/anisespool/http1.py
@@ -65,7 +65,6 @@
     def feed(self, data: bytes) -> list[Request]:
         """The requests that these bytes complete; those before a fault in the bytes still count."""
         if not self.error:
-            self._fed = True
             try:
                 self._parser.feed_data(data)
             except httptools.HttpParserError:  # an upgrade included: there is none to be had
--- a/anisespool/server.py
+++ b/anisespool/server.py
@@ -6,6 +6,7 @@
 import hashlib
 import socket
 import sys
+import time
 from collections import deque
 from contextlib import suppress
 from http import HTTPStatus
@@ -20,6 +21,7 @@
 MOST_PIPELINED = 8  # requests read ahead on one connection
 HALF_WRITTEN_S = 1.0  # after the listener has closed
 ACCEPT_PAUSE_S = 0.05  # with no descriptor left
+READ_NS = 1_000_000  # a request that waited no longer has not waited
 LINGER_S = 1.0  # to let a client read why it was cut off
 LONGEST_WAIT_MS = 3_600_000
 
@@ -34,6 +36,8 @@
 
 def read_call(request: http1.Request, names: Names, settings: Settings) -> Call:
     """A request in the module's terms, or BadCall."""
+    if request.method not in (b"GET", b"POST"):
+        raise BadCall(HTTPStatus.METHOD_NOT_ALLOWED, "GET and POST are served")
     parts = [part for part in request.target.partition(b"?")[0].split(b"/") if part]
     cls = names.classes.get(unquote_to_bytes(parts[0]).decode("latin-1")) if parts else None
     if cls is None:
@@ -76,7 +80,7 @@
     def __init__(self, server: Server) -> None:
         self._server = server
         self._parser = http1.RequestParser()
-        self._queue: deque[http1.Request] = deque()
+        self._queue: deque[tuple[http1.Request, int]] = deque()  # with when it came
         self._transport: asyncio.Transport | None = None
         self._busy = self._closing = False
         self._keep_alive = True
@@ -100,7 +104,8 @@
     def data_received(self, data: bytes) -> None:
         if self._closing:
             return
-        self._queue.extend(self._parser.feed(data))
+        now = time.monotonic_ns()
+        self._queue.extend((request, now) for request in self._parser.feed(data))
         if self._parser.wants_continue and self._transport and not self._busy:
             self._parser.wants_continue = False
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -122,13 +127,13 @@
                 if self._parser.error:
                     self._reject(HTTPStatus(self._parser.error))
                 return
-            request = self._queue.popleft()
+            request, came_ns = self._queue.popleft()
             if self._transport and len(self._queue) <= MOST_PIPELINED:
                 self._transport.resume_reading()
             self._busy, self._current, self._keep_alive = True, 0, request.keep_alive
-            self._work_on(request)
+            self._work_on(request, came_ns)
 
-    def _work_on(self, request: http1.Request) -> None:
+    def _work_on(self, request: http1.Request, came_ns: int) -> None:
         if request.target.partition(b"?")[0] == b"/healthz":
             self._answer(Answer(200 if self._server.sidecar.ready else 503))
             return
@@ -141,6 +146,8 @@
         except BadCall as error:
             self._answer(Answer(error.status, f"{error}\n".encode()))
             return
+        waited_ns = time.monotonic_ns() - came_ns  # behind others that the client sent ahead of it
+        call = call._replace(left_ns=max(0, call.left_ns - waited_ns)) if waited_ns > READ_NS else call
         current = self._server.sidecar.take(call, self._answer_and_go_on)
         if self._busy:
             self._current = current
