--- a/anisespool/__main__.py
+++ b/anisespool/__main__.py
@@ -31,7 +31,10 @@
     watch = Watch(config.discovery, config.names, config.known.revision, sidecar.listed)
     tasks = [loop.create_task(watch.run()), loop.create_task(endpoints.sweep())]
     server = Server(sidecar, config.names, settings, most)
-    on_listening(server.listen(config.listen))
+    try:
+        on_listening(server.listen(config.listen))
+    except OSError as error:
+        raise ConfigError(f"LB_LISTEN: {error}") from None
     gc.freeze()  # what start-up made stays for good: no collection need look at it
     await stop.wait()
     try:
@@ -57,9 +60,6 @@
     except ConfigError as error:
         print(f"anisespool: {error}", file=sys.stderr)
         return 2
-    except OSError as error:
-        print(f"anisespool: LB_LISTEN: {error}", file=sys.stderr)
-        return 2
     return 0
 
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -92,14 +92,19 @@
 
 
 @limited
-async def test_a_bad_configuration_ends_the_program_with_one_line() -> None:
+async def test_a_bad_configuration_ends_the_program_with_one_line(tmp_path: Path) -> None:
     bare = {k: v for k, v in os.environ.items() if not k.startswith("LB_")}
-    process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "anisespool", env=bare, stderr=asyncio.subprocess.PIPE
-    )
-    _, log = await process.communicate()
-    assert (process.returncode, log.count(b"\n")) == (2, 1)
-    assert b"LB_CONFIG" in log
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        listen = f"127.0.0.1:{taken.getsockname()[1]}"
+        for env, name in (({}, b"LB_CONFIG"), (write_config(tmp_path, NOWHERE, [], listen), b"LB_LISTEN")):
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "anisespool", env=bare | env, stderr=asyncio.subprocess.PIPE
+            )
+            _, log = await process.communicate()
+            assert (process.returncode, log.count(b"\n")) == (2, 1)
+            assert name in log
 
 
 @limited
