End an attempt whose connection was lost while it came up

Seen by reading: between a connection's coming up and the task that waits for it, the loop may deliver its loss, when no attempt is on it yet. The attempt was then written to a closed transport and hung until its time was up, for an unsafe class without the other attempts it was due. To blame: Endpoints._open. Checked: a loopback test that delays the task until the loss is known ran into the attempt's time-out before, and ends CONNECT_FAILED at once after.

--- a/anisespool/endpoints.py
+++ b/anisespool/endpoints.py
@@ -250,7 +250,10 @@
         finally:
             self._opening -= 1
             pool.waiting.discard(attempt)
-        if connection is None:
+        # Danger: one lost while it came up has told its loss already, and would never end the attempt.
+        if connection is None or not connection.fresh():
+            if connection:
+                connection.discard()
             attempt.end(Status.CONNECT_FAILED)
         elif attempt.status is not None:  # given up meanwhile; the handshake is paid for
             self.release(connection, pool)
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -6,6 +6,7 @@
 import socket
 from collections.abc import Callable
 from time import monotonic_ns
+from typing import Any
 
 import pytest
 
@@ -293,3 +294,25 @@
         await until(lambda: stuck.status is Status.TIMEOUT)
         await until(lambda: endpoint.ended == (1 if heard else 2))
         assert len(driver.endpoints.connections) == (1 if heard else 0)
+
+
+@limited
+async def test_a_connection_that_breaks_as_it_comes_up_has_not_run(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def close(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.close()
+
+    loop = asyncio.get_running_loop()
+    connect = loop.create_connection
+
+    async def lost_meanwhile(*args: Any) -> Any:
+        transport, protocol = await connect(*args)
+        await until(transport.is_closing)
+        return transport, protocol
+
+    server = await asyncio.start_server(close, "127.0.0.1", 0)
+    async with server:
+        monkeypatch.setattr(loop, "create_connection", lost_meanwhile)
+        began = monotonic_ns()
+        attempt = await Driver(Address(*server.sockets[0].getsockname())).result()
+    assert attempt.status is Status.CONNECT_FAILED
+    assert monotonic_ns() - began < SECOND  # told at once, not when its time was up
