Sharpen four checks that could not fail

Seen: of 23 faults put into the code by hand, 4 passed the tests: closing with a flush in place of an abort, ending a rejected client's connection at once, not telling the module of a client that left, and a second check for surplus bytes behind an answer. Three got tests that fail on them; the fourth was never needed (the parser announces a second message) and is gone from ResponseParser.feed.

--- a/anisespool/http1.py
+++ b/anisespool/http1.py
@@ -120,15 +120,11 @@
         self._head = _Head()
 
     def feed(self, data: bytes) -> Response | None:
-        """The response, once it is whole. Bytes past its end are a fault: nobody asked for them."""
-        surplus = self.response is not None
+        """The response, once it is whole."""
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
-            surplus = self.response is not None
-            self.broken = not surplus
-        if surplus and self.response:
-            self.response = self.response._replace(keep_alive=False)
+            self.broken = self.broken or self.response is None
         return None if self.broken else self.response
 
     def end(self) -> Response | None:
@@ -139,7 +135,7 @@
         return self.response
 
     def on_message_begin(self) -> None:
-        if self.response is not None:  # a second answer to one request
+        if self.response is not None:  # bytes past its end: nobody asked for them
             self.response = self.response._replace(keep_alive=False)
 
     def on_header(self, name: bytes, value: bytes) -> None:
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 from time import monotonic_ns
 from typing import Any
 
@@ -223,9 +224,10 @@
         assert not driver.endpoints.connections
 
 
+@pytest.mark.parametrize("more", [b"HTTP/1.1 200 OK\r\n", b"\x00\x01", b"\r\n\r\nx"])
 @limited
-async def test_an_answer_with_more_behind_it_ends_the_connection() -> None:
-    async with Endpoint(OK + b"HTTP/1.1 200 OK\r\n").serve() as endpoint:
+async def test_an_answer_with_more_behind_it_ends_the_connection(more: bytes) -> None:
+    async with Endpoint(OK + more).serve() as endpoint:
         driver = Driver(endpoint.address)
         assert (await driver.result()).status is Status.OK
         assert (await driver.result()).status is Status.OK
@@ -316,3 +318,28 @@
         attempt = await Driver(Address(*server.sockets[0].getsockname())).result()
     assert attempt.status is Status.CONNECT_FAILED
     assert monotonic_ns() - began < SECOND  # told at once, not when its time was up
+
+
+@limited
+async def test_the_rest_of_a_given_up_request_does_not_leave() -> None:
+    """Its last byte would be an attempt that nobody counts."""
+    size, got, ended = 30_000_000, 0, asyncio.Event()
+    read_on = asyncio.Event()
+
+    async def connected(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal got
+        await read_on.wait()
+        with suppress(OSError):
+            while data := await reader.read(1 << 20):
+                got += len(data)
+        ended.set()
+
+    server = await asyncio.start_server(connected, "127.0.0.1", 0, limit=16)
+    async with server:
+        driver = Driver(Address(*server.sockets[0].getsockname()))
+        attempt = driver.send(Request(b"POST", b"/once/1", {}, b"x" * size, True))
+        await until(lambda: attempt.connection is not None)
+        attempt.give_up(Status.CANCELLED)
+        read_on.set()
+        await ended.wait()
+    assert got < size
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -107,8 +107,10 @@
             _, writer = await asyncio.open_connection(*sidecar.address)
             writer.write(raw_call("once"))
             await until(lambda n=before: len(endpoint.requests) == n + 1)  # type: ignore[misc]
+            left = monotonic()
             leave(writer)
             await until(lambda n=before: endpoint.ended == n + 1)  # type: ignore[misc]
+            assert monotonic() - left < 0.4  # well before the attempt's own time is up
 
 
 @limited
@@ -441,3 +443,16 @@
         while (await exchange(sidecar.address, raw_call("look"))).status != 200:
             pass
     assert "Traceback" not in capfd.readouterr().err
+
+
+@limited
+async def test_a_client_that_goes_on_sending_can_still_read_why_it_was_cut_off(tmp_path: Path) -> None:
+    async with Endpoint().serve() as endpoint, world(tmp_path, endpoint) as sidecar:
+        reader, writer = await asyncio.open_connection(*sidecar.address)
+        writer.write(raw_call("once").replace(b"Content-Length: 0", b"Content-Length: 5000000"))
+        for _ in range(50):
+            writer.write(b"x" * 100_000)
+            await writer.drain()
+        assert (await read_response(reader)).status == 413
+        assert await reader.read() == b""
+        writer.close()
