Test that a silent watch is opened again

Seen: the 5 s of silence after which the watch reconnects had no test of its own. On loopback, with the time cut to 0.1 s: the old watch is closed, a new one opened, and requests are served meanwhile by the list that is there. Conclusion: behaves as meant; nothing else changed.

--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -16,6 +16,7 @@
 
 import pytest
 
+from anisespool import discovery
 from anisespool.config import load
 from anisespool.endpoints import Endpoints
 from anisespool.sidecar import Answer, Call, Sidecar
@@ -456,3 +457,15 @@
         assert (await read_response(reader)).status == 413
         assert await reader.read() == b""
         writer.close()
+
+
+@limited
+async def test_a_watch_that_says_nothing_is_opened_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A cut-off discovery keeps its connection open; only its silence tells."""
+    monkeypatch.setattr(discovery, "SILENCE_S", 0.1)
+    async with Endpoint().serve() as endpoint, world(tmp_path, endpoint) as sidecar:
+        await until(lambda: len(sidecar.discovery.connections) == 2)
+        assert (await sidecar.discovery.connections[0][0].read()) == b""  # the old one is given up
+        assert (await exchange(sidecar.address, raw_call())).status == 200  # by the list it has
