Read the configuration again on SIGHUP and move the watch

Cause: no handler for SIGHUP (__main__.py), so its deadly default applied. Now signals are handled from before the file is read until the process has ended; the watch is moved at once with its backoff reset, and a missing or bad file is one line in the log.

--- a/anisespool/__main__.py
+++ b/anisespool/__main__.py
@@ -9,7 +9,7 @@
 import sys
 from collections.abc import Callable
 
-from anisespool.config import Address, Config, ConfigError, load
+from anisespool.config import Address, Config, ConfigError, discovery_in, load
 from anisespool.discovery import Watch
 from anisespool.endpoints import Endpoints
 from anisespool.server import Server
@@ -21,8 +21,22 @@
 SPARE_SOCKETS = 64  # descriptors for all but clients and endpoints
 
 
-async def run(config: Config, stop: asyncio.Event, on_listening: Callable[[Address], None]) -> None:
-    """One sidecar from its start until `stop` is set and all that it took is answered."""
+class Signals:
+    """What the platform asks for while the program runs. They exist before anything else does, so that a
+    SIGHUP at an awkward moment waits instead of killing the process."""
+
+    def __init__(self) -> None:
+        self.stop, self.reload = asyncio.Event(), asyncio.Event()
+
+    def install(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload.set)
+
+
+async def run(config: Config, signals: Signals, on_listening: Callable[[Address], None]) -> None:
+    """One sidecar from its start until it is told to stop and all that it took is answered."""
     loop = asyncio.get_running_loop()
     settings, most = config.settings, max(8, (config.sockets - SPARE_SOCKETS) // 2)
     endpoints = Endpoints(settings.report_columns, settings.connect_timeout_ns, config.keepalive_ns, most)
@@ -30,13 +44,14 @@
     sidecar.listed(config.known, RosterForm.CACHED)
     watch = Watch(config.discovery, config.names, config.known.revision, sidecar.listed)
     tasks = [loop.create_task(watch.run()), loop.create_task(endpoints.sweep())]
+    tasks.append(loop.create_task(_reload(config.path, watch, signals.reload)))
     server = Server(sidecar, config.names, settings, most)
     try:
         on_listening(server.listen(config.listen))
     except OSError as error:
         raise ConfigError(f"LB_LISTEN: {error}") from None
     gc.freeze()  # what start-up made stays for good: no collection need look at it
-    await stop.wait()
+    await signals.stop.wait()
     try:
         async with asyncio.timeout(LAST_S):
             await server.stop(ACCEPT_S)
@@ -46,17 +61,30 @@
         task.cancel()
 
 
-async def _until_signalled(config: Config) -> None:
-    stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, stop.set)
-    await run(config, stop, lambda address: None)
+async def _reload(path: str, watch: Watch, asked: asyncio.Event) -> None:
+    """New configurations: of what the file says only discovery's address can change under way."""
+    while True:
+        await asked.wait()
+        asked.clear()
+        try:
+            watch.move(discovery_in(path))
+        except ConfigError as error:  # Danger: a bad file must cost a log line, not the sidecar
+            print(f"anisespool: not reloaded: {error}"[:300], file=sys.stderr)
+
+
+async def _until_signalled() -> None:
+    signals = Signals()
+    signals.install()
+    try:
+        await run(load(os.environ), signals, lambda address: None)
+    finally:
+        # Danger: the closing loop gives signals back their deadly defaults. What comes now finds us leaving.
+        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
 
 
 def main() -> int:
     try:
-        config = load(os.environ)
-        asyncio.run(_until_signalled(config))
+        asyncio.run(_until_signalled())
     except ConfigError as error:
         print(f"anisespool: {error}", file=sys.stderr)
         return 2
--- a/anisespool/config.py
+++ b/anisespool/config.py
@@ -78,6 +78,7 @@
 
 @dataclass(frozen=True)
 class Config:
+    path: str  # of the file, to read again when it is replaced
     name: str
     listen: Address
     discovery: Address
@@ -92,12 +93,8 @@
 def load(env: Mapping[str, str]) -> Config:
     """The whole configuration, or a ConfigError that names what is missing or wrong."""
     path = _variable(env, "LB_CONFIG")
-    try:
-        with open(path, "rb") as file:
-            raw = json.load(file)
-    except (OSError, ValueError) as error:
-        raise ConfigError(f"LB_CONFIG: {error}") from None
-    if not isinstance(raw, dict) or not isinstance(raw.get("settings"), dict):
+    raw = _read(path)
+    if not isinstance(raw.get("settings"), dict):
         raise ConfigError("LB_CONFIG: key settings: an object is needed")
     try:
         settings = Settings.from_dict(raw["settings"])
@@ -105,6 +102,7 @@
         raise ConfigError(f"LB_CONFIG: {error}") from None
     names = _names(raw["settings"])
     return Config(
+        path=path,
         name=_variable(env, "LB_NAME"),
         listen=_address(env, "LB_LISTEN"),
         discovery=_address(env, "LB_DISCOVERY"),
@@ -117,6 +115,27 @@
     )
 
 
+def discovery_in(path: str) -> Address:
+    """The address of discovery that the file names now, or a ConfigError."""
+    try:
+        return Address.parse(_read(path).get("discovery"))
+    except ConfigError:
+        raise
+    except ValueError as error:
+        raise ConfigError(f"LB_CONFIG: key discovery: {error}") from None
+
+
+def _read(path: str) -> dict[str, Any]:
+    try:
+        with open(path, "rb") as file:
+            raw = json.load(file)
+    except (OSError, ValueError, RecursionError) as error:
+        raise ConfigError(f"LB_CONFIG: {error}") from None
+    if not isinstance(raw, dict):
+        raise ConfigError("LB_CONFIG: an object is needed")
+    return raw
+
+
 def _variable(env: Mapping[str, str], name: str) -> str:
     if not env.get(name):
         raise ConfigError(f"{name}: not set")
--- a/anisespool/discovery.py
+++ b/anisespool/discovery.py
@@ -27,18 +27,36 @@
         self._revision = revision
         self._buffer = b""
         self._wait_s = FIRST_WAIT_S
+        self._turn: asyncio.Task[None] | None = None
+
+    def move(self, address: Address) -> None:
+        """Watch at another address from now on, without waiting for the old one to end, nor for the time
+        that its failures would have cost."""
+        if address == self._address:
+            return
+        print("discovery: now at {}:{}".format(*address), file=sys.stderr)
+        self._address, self._wait_s = address, FIRST_WAIT_S
+        if self._turn:
+            self._turn.cancel()
 
     async def run(self) -> None:
         while True:
+            self._turn = asyncio.create_task(self._watch_and_wait())
             try:
-                await self._watch_once()
-            except (OSError, TimeoutError) as error:
-                print(f"discovery: {type(error).__name__}: {error}", file=sys.stderr)
-            except Exception:  # Danger: whatever it was, without a watch drains are missed for good
-                traceback.print_exc()
-            # Jittered: all sidecars lose discovery at the same moment.
-            await asyncio.sleep(self._wait_s * random.uniform(0.5, 1.0))
-            self._wait_s = min(2 * self._wait_s, LONGEST_WAIT_S)
+                await asyncio.wait([self._turn])  # a turn may be cancelled, and that does not end the watch
+            finally:
+                self._turn.cancel()
+
+    async def _watch_and_wait(self) -> None:
+        try:
+            await self._watch_once()
+        except (OSError, TimeoutError) as error:
+            print(f"discovery: {type(error).__name__}: {error}", file=sys.stderr)
+        except Exception:  # Danger: whatever it was, without a watch drains are missed for good
+            traceback.print_exc()
+        # Jittered: all sidecars lose discovery at the same moment.
+        wait_s, self._wait_s = self._wait_s, min(2 * self._wait_s, LONGEST_WAIT_S)
+        await asyncio.sleep(wait_s * random.uniform(0.5, 1.0))
 
     async def _watch_once(self) -> None:
         self._buffer = b""
--- a/tests/net.py
+++ b/tests/net.py
@@ -13,7 +13,7 @@
 from typing import Any, Self
 
 from anisespool import http1
-from anisespool.__main__ import run
+from anisespool.__main__ import Signals, run
 from anisespool.config import Address, Config, load
 from tests.support import raw_settings
 
@@ -154,6 +154,7 @@
     """The configuration file, and the environment that names it."""
     raw = {"name": "n0", "seed": "8c1f", "limits": {"sockets": 256}, "known": member_list(1, known)}
     raw["settings"] = settings_json(**changes)
+    raw["discovery"] = f"{discovery.host}:{discovery.port}"
     path = folder / "config.json"
     path.write_text(json.dumps(raw))
     where = f"{discovery.host}:{discovery.port}"
@@ -163,8 +164,10 @@
 class World:
     """A sidecar in this process, its discovery and its endpoints."""
 
-    def __init__(self, address: Address, discovery: Discovery, stop: asyncio.Event, task: asyncio.Task[None]):
-        self.address, self.discovery, self.stop, self.task = address, discovery, stop, task
+    def __init__(
+        self, address: Address, discovery: Discovery, signals: Signals, task: asyncio.Task[None]
+    ) -> None:
+        self.address, self.discovery, self.signals, self.task = address, discovery, signals, task
 
 
 @asynccontextmanager
@@ -174,10 +177,10 @@
         for n, endpoint in enumerate(endpoints):
             known.append(member(f"s-{n}", endpoint.address))
         config: Config = load(write_config(folder, discovery.address, known, **changes))
-        stop, listening = asyncio.Event(), asyncio.get_running_loop().create_future()
-        task = asyncio.create_task(run(config, stop, listening.set_result))
+        signals, listening = Signals(), asyncio.get_running_loop().create_future()
+        task = asyncio.create_task(run(config, signals, listening.set_result))
         try:
-            yield World(await listening, discovery, stop, task)
+            yield World(await listening, discovery, signals, task)
         finally:
             task.cancel()
             with suppress(asyncio.CancelledError):
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,102 @@
+"""A replaced configuration and SIGHUP: the watch moves, and nothing else happens to the sidecar."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+from pathlib import Path
+
+import pytest
+
+from anisespool import discovery
+from anisespool.config import Address
+from tests.net import (
+    Discovery,
+    Endpoint,
+    exchange,
+    limited,
+    member,
+    member_list,
+    raw_call,
+    until,
+    write_config,
+)
+from tests.net import world as sidecar_world
+from tests.test_endpoints import say_nothing
+from tests.test_program import NOWHERE, free_port, start
+
+
+def name_discovery(file: Path, address: Address) -> None:
+    raw = json.loads(file.read_text()) | {"discovery": f"{address.host}:{address.port}"}
+    fresh = file.with_suffix(".new")
+    fresh.write_text(json.dumps(raw))
+    fresh.replace(file)
+
+
+@limited
+async def test_sighup_moves_the_watch_and_a_bad_file_is_one_line(tmp_path: Path) -> None:
+    old_list, new_list, endpoint = Discovery(), Discovery(), Endpoint()
+    async with old_list.serve(), new_list.serve(), endpoint.serve():
+        env = write_config(tmp_path, old_list.address, [], f"127.0.0.1:{free_port()}")
+        starting = asyncio.create_task(start(env))
+        await until(lambda: len(old_list.connections) == 1)
+        process_file = Path(env["LB_CONFIG"])
+        old_list.say(member_list(5, [member("s-0", endpoint.address)]))
+        process = await starting
+        name_discovery(process_file, new_list.address)
+        process.send_signal(signal.SIGHUP)
+        process.send_signal(signal.SIGHUP)
+        assert await old_list.connections[0][0].read() == b""  # let go of at once
+        await until(lambda: len(new_list.connections) == 1)
+        assert new_list.targets == [b"/v1/servers?stream=1&index=5"]
+        good = process_file.read_text()
+        for bad in (None, "{", "[]", "{}", json.dumps({"discovery": "nowhere"})):
+            process_file.unlink() if bad is None else process_file.write_text(bad)
+            process.send_signal(signal.SIGHUP)
+            assert process.stderr
+            while b"not reloaded" not in await process.stderr.readline():
+                pass
+        process_file.write_text(good)
+        process.send_signal(signal.SIGHUP)  # the same address: the watch stays
+        new_list.say(member_list(6, [member("s-0", endpoint.address, "draining")], complete=False))
+        address = Address.parse(env["LB_LISTEN"])
+        while (await exchange(address, b"GET /healthz HTTP/1.1\r\n\r\n")).status != 503:
+            await asyncio.sleep(0.002)
+        assert (len(old_list.connections), len(new_list.connections)) == (1, 1)
+        process.send_signal(signal.SIGTERM)
+        await process.communicate()
+        assert process.returncode == 0
+
+
+@limited
+async def test_sighup_at_awkward_moments_does_no_harm(tmp_path: Path) -> None:
+    """Before the program is ready, and over and over until it has ended."""
+    async with Endpoint(say_nothing).serve() as endpoint:
+        env = write_config(tmp_path, NOWHERE, [member("s-0", endpoint.address)], f"127.0.0.1:{free_port()}")
+        process = await start(env)
+        call = asyncio.create_task(exchange(Address.parse(env["LB_LISTEN"]), raw_call("once", left_ms=300)))
+        await until(lambda: len(endpoint.requests) == 1)
+        process.send_signal(signal.SIGTERM)
+        ending = asyncio.create_task(process.wait())
+        while not ending.done():
+            process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.001)
+        assert (await call).status == 502
+        assert process.returncode == 0
+
+
+@limited
+async def test_moving_does_not_wait_for_what_the_old_address_costs(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its failures have set the wait so long that news would come late."""
+    monkeypatch.setattr(discovery, "FIRST_WAIT_S", 60.0)
+    monkeypatch.setattr(discovery, "LONGEST_WAIT_S", 60.0)
+    new_list = Discovery()
+    async with Endpoint().serve() as endpoint, new_list.serve(), sidecar_world(tmp_path, endpoint) as it:
+        await until(lambda: bool(it.discovery.connections))
+        it.discovery.connections[0][1].transport.abort()
+        name_discovery(tmp_path / "config.json", new_list.address)
+        it.signals.reload.set()
+        await until(lambda: bool(new_list.connections))
