--- a/anisespool/__main__.py
+++ b/anisespool/__main__.py
@@ -18,7 +18,8 @@
 
 ACCEPT_S = 0.5  # after SIGTERM: new connections go on coming for up to 0.4 s
 LAST_S = 4.0  # then nothing taken can still be in time
-SPARE_SOCKETS = 64  # descriptors for all but clients and endpoints
+SPARE_SOCKETS = 32  # descriptors for all but clients and endpoints, and for those on their way out
+CLIENTS_SHARE = 0.45  # of the others: an endpoint's connection may be busy for longer than its client's
 
 
 class Signals:
@@ -38,14 +39,18 @@
 async def run(config: Config, signals: Signals, on_listening: Callable[[Address], None]) -> None:
     """One sidecar from its start until it is told to stop and all that it took is answered."""
     loop = asyncio.get_running_loop()
-    settings, most = config.settings, max(8, (config.sockets - SPARE_SOCKETS) // 2)
-    endpoints = Endpoints(settings.report_columns, settings.connect_timeout_ns, config.keepalive_ns, most)
+    settings, sockets = config.settings, max(16, config.sockets - SPARE_SOCKETS)
+    most = int(sockets * CLIENTS_SHARE)
+    endpoints = Endpoints(
+        settings.report_columns, settings.connect_timeout_ns, config.keepalive_ns, sockets - most
+    )
     sidecar = Sidecar(config, endpoints)
     sidecar.listed(config.known, RosterForm.CACHED)
     watch = Watch(config.discovery, config.names, config.known.revision, sidecar.listed)
     tasks = [loop.create_task(watch.run()), loop.create_task(endpoints.sweep())]
     tasks.append(loop.create_task(_reload(config.path, watch, signals.reload)))
     server = Server(sidecar, config.names, settings, most)
+    tasks.append(loop.create_task(server.sweep()))
     try:
         on_listening(server.listen(config.listen))
     except OSError as error:
--- a/anisespool/discovery.py
+++ b/anisespool/discovery.py
@@ -62,11 +62,11 @@
         self._buffer = b""
         async with asyncio.timeout(SILENCE_S):
             reader, writer = await asyncio.open_connection(*self._address)
+        parser = http1.ResponseParser(self._on_body)
         try:
             target = b"/v1/servers?stream=1&index=%d" % self._revision
             request = http1.Request(b"GET", target, {}, b"", True)
             writer.write(http1.encode_request(request, "{}:{}".format(*self._address).encode(), {}))
-            parser = http1.ResponseParser(self._on_body)
             while True:
                 async with asyncio.timeout(SILENCE_S):
                     data = await reader.read(65536)
@@ -78,6 +78,7 @@
                 if len(self._buffer) > MAX_LINE:
                     raise OSError("a line without end")
         finally:
+            parser.close()
             writer.transport.abort()
 
     def _on_body(self, data: bytes) -> None:
--- a/anisespool/endpoints.py
+++ b/anisespool/endpoints.py
@@ -15,6 +15,7 @@
 FORWARDED = {b"x-trace-id": b"X-Trace-Id", b"idempotency-key": b"Idempotency-Key",
              b"content-type": b"Content-Type"}  # fmt: skip
 IDLE_SHARE = 0.75  # of the settings' keepalive: past it the endpoint closes, and a request on it is a reset
+REST_S = 0.02  # between two requests on one connection: what an answer brings too much follows within this
 MAX_IDLE = 48  # idle connections kept to one endpoint
 SWEEP_S = 1.0
 
@@ -86,7 +87,7 @@
     def __init__(self, owner: Endpoints, pool: Pool) -> None:
         self._owner, self._pool = owner, pool
         self._attempt: Attempt | None = None
-        self._parser = http1.ResponseParser()
+        self._parser: http1.ResponseParser | None = None
         self._transport: asyncio.Transport | None = None
         self.unwritten = False  # part of the request has not left for the kernel: it can't have run
         self.idle_since = 0.0
@@ -131,7 +132,7 @@
 
     def data_received(self, data: bytes) -> None:
         self._pool.heard_ns = time.monotonic_ns()
-        if self._attempt is None:
+        if self._attempt is None or self._parser is None:
             self.discard()  # nobody asked
             return
         response = self._parser.feed(data)
@@ -144,7 +145,7 @@
         self._owner.connections.discard(self)
         if self in self._pool.idle:
             self._pool.idle.remove(self)
-        if self._attempt is None:
+        if self._attempt is None or self._parser is None:
             return
         response = self._parser.end() if exc is None else None
         if response:
@@ -165,6 +166,7 @@
         attempt, self._attempt = self._attempt, None
         assert attempt
         attempt.connection = None
+        self._drop_parser()
         if response:
             attempt.load = http1.parse_load(
                 response.headers.get(b"endpoint-load-metrics"), self._owner.columns
@@ -178,21 +180,32 @@
     def discard(self) -> None:
         """Close without flushing: the rest of a given-up request must not leave."""
         self._attempt = None
+        self._drop_parser()
         self._owner.connections.discard(self)
         if self._transport:
             self._transport.abort()
 
+    def _drop_parser(self) -> None:
+        if self._parser:
+            self._parser.close()
+            self._parser = None
+
 
 class Endpoints:
     """All endpoints by the driver's numbers."""
 
     def __init__(
-        self, columns: tuple[str, ...], connect_timeout_ns: int, keepalive_ns: int, most: int
+        self,
+        columns: tuple[str, ...],
+        connect_timeout_ns: int,
+        keepalive_ns: int,
+        most: int,
+        rest_s: float = REST_S,
     ) -> None:
         self.columns = columns
         self._connect_timeout_s = connect_timeout_ns / 1e9 or 1.0
         self._idle_s = keepalive_ns / 1e9 * IDLE_SHARE
-        self._most = most
+        self._most, self._rest_s = most, rest_s
         self._opening = 0
         self._pools: dict[int, Pool] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -221,12 +234,9 @@
         if pool is None or not pool.open_to_new:  # rule 3, whatever was decided
             attempt.end(Status.MOOT)
             return
-        while pool.idle:
-            connection = pool.idle.pop()
-            if connection.fresh():
-                self._start(connection, pool, attempt)
-                return
-            connection.discard()
+        if connection := self._rested(pool):
+            self._start(connection, pool, attempt)
+            return
         if len(self.connections) + self._opening >= self._most and not self._evict():
             attempt.end(Status.CONNECT_FAILED)
             return
@@ -236,6 +246,19 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _rested(self, pool: Pool) -> Connection | None:
+        """The idle connection used last that has rested. Danger: some answers bring a second copy or noise
+        right behind. Read as the answer to the next request it would be served to the wrong client; so the
+        connection shows first that nothing more comes."""
+        latest = time.monotonic() - self._rest_s
+        for n in reversed(range(len(pool.idle))):
+            if pool.idle[n].idle_since <= latest:
+                connection = pool.idle.pop(n)
+                if connection.fresh():
+                    return connection
+                connection.discard()
+        return None
+
     async def _open(self, pool: Pool, attempt: Attempt) -> None:
         connection: Connection | None = None
         loop = asyncio.get_running_loop()
--- a/anisespool/http1.py
+++ b/anisespool/http1.py
@@ -8,9 +8,13 @@
 
 import httptools
 
-MAX_BODY = 64 * 1024  # what the protocol allows a body
+MAX_BODY = 64 * 1024  # what the protocol allows a body, either way
 MAX_HEAD = 16 * 1024
-MAX_ANSWER = 16 * MAX_BODY  # generous to endpoints, yet a bound: memory is
+MAX_RAW = MAX_HEAD + 8 * MAX_BODY  # a whole message as it came: bytes in the smallest chunks cost six each
+# A message with two of these could mean one thing here and another thing further on.
+SINGLE = frozenset(
+    (b"content-length", b"transfer-encoding", b"host", b"x-trace-id", b"idempotency-key", b"x-expires-in-ms")
+)
 
 
 class Request(NamedTuple):
@@ -28,24 +32,48 @@
     keep_alive: bool  # the connection can carry another request
 
 
-class _Head:
-    """What both directions collect. Danger: headers without end would fill the memory."""
+class _Message:
+    """What both directions collect, within bounds. Danger: the parser gathers a header's name and value
+    before it tells of them, so what counts is the bytes that went in, not those that came out."""
 
     def __init__(self) -> None:
         self.headers: dict[bytes, bytes] = {}
         self.body: list[bytes] = []
-        self.head_size = self.body_size = 0
+        self.raw_size = self.head_size = self.body_size = 0
+        self.in_head, self.ambiguous = True, False
+
+    @property
+    def too_large(self) -> bool:
+        raw_most = MAX_HEAD if self.in_head else MAX_RAW
+        return self.body_size > MAX_BODY or self.head_size > MAX_HEAD or self.raw_size > raw_most
+
+    @property
+    def length(self) -> int:
+        """As declared; the parser has seen to it that it is a number."""
+        return int(self.headers.get(b"content-length", b"0").strip() or b"0")
+
+    @property
+    def framed(self) -> bool:
+        return b"content-length" in self.headers or b"transfer-encoding" in self.headers
 
     def add_header(self, name: bytes, value: bytes) -> None:
+        name = name.lower()
         self.head_size += len(name) + len(value)
-        if self.head_size <= MAX_HEAD:
-            self.headers.setdefault(name.lower(), value)
+        if self.in_head:  # trailers come too late to mean anything
+            self.ambiguous = self.ambiguous or name in SINGLE and name in self.headers
+            self.headers.setdefault(name, value)
 
-    def add_body(self, data: bytes, limit: int) -> None:
+    def add_body(self, data: bytes) -> None:
         self.body_size += len(data)
-        if self.body_size <= limit:
+        if self.body_size <= MAX_BODY:
             self.body.append(data)
 
+    def end_head(self) -> None:
+        self.in_head = False
+        coding = self.headers.get(b"transfer-encoding")
+        if coding is not None and (coding.lower() != b"chunked" or b"content-length" in self.headers):
+            self.ambiguous = True
+
 
 class RequestParser:
     """Bytes in, whole requests out. After `error` (the status to answer) the stream is of no more use."""
@@ -54,58 +82,69 @@
         self.error = 0
         self.wants_continue = False
         self._done: list[Request] = []
-        self._parser = httptools.HttpRequestParser(self)
-        self.on_message_begin()
+        self._message, self._target, self._begun = _Message(), b"", False
+        self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
 
     @property
     def partial(self) -> bool:
         """Part of a request has come."""
-        return self._begun
+        return self._begun or self._message.raw_size > 0
+
+    def close(self) -> None:
+        """Let go of the parser: it and its callbacks hold one another, and would wait for the collector."""
+        self._parser = None
 
     def feed(self, data: bytes) -> list[Request]:
         """The requests that these bytes complete; those before a fault in the bytes still count."""
-        if not self.error:
+        if not self.error and self._parser:
+            before = self._message
             try:
                 self._parser.feed_data(data)
-            except httptools.HttpParserError:  # an upgrade included: there is none to be had
+            except (httptools.HttpParserError, httptools.HttpParserUpgrade):  # no upgrade is to be had
                 self.error = self.error or HTTPStatus.BAD_REQUEST
+                # Danger: a length that doesn't fit what follows. What came in one piece with the fault is
+                # one message of which nobody knows where it ends, and may hide another.
+                if self._done:
+                    self._done.pop()
+            if before is self._message:
+                before.raw_size += len(data)
+            if self._message.too_large:
+                self.error = self.error or HTTPStatus.REQUEST_ENTITY_TOO_LARGE
         done, self._done = self._done, []
         return done
 
     def on_message_begin(self) -> None:
-        self._target, self._head, self._begun = b"", _Head(), False
+        self._begun = True
 
     def on_url(self, url: bytes) -> None:
-        self._begun = True
-        self._head.head_size += len(url)
-        if self._head.head_size <= MAX_HEAD:
-            self._target += url
-        else:
-            self.error = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+        self._target += url
+        self._message.head_size += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._head.add_header(name, value or b"")
-        if self._head.head_size > MAX_HEAD:
-            self.error = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+        self._message.add_header(name, value or b"")
 
     def on_headers_complete(self) -> None:
-        length = self._head.headers.get(b"content-length", b"0")
-        if length.isdigit() and int(length[:20]) > MAX_BODY:
+        message = self._message
+        message.end_head()
+        if message.ambiguous:
+            self.error = HTTPStatus.BAD_REQUEST
+        elif message.length > MAX_BODY or message.head_size > MAX_HEAD:
             self.error = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
-        elif self._head.headers.get(b"expect", b"").lower() == b"100-continue":
+        elif message.headers.get(b"expect", b"").lower() == b"100-continue":
             self.wants_continue = True
 
     def on_body(self, data: bytes) -> None:
-        self._head.add_body(data, MAX_BODY)
-        if self._head.body_size > MAX_BODY:
-            self.error = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+        self._message.add_body(data)
 
     def on_message_complete(self) -> None:
+        message, parser = self._message, self._parser
+        if message.too_large:
+            self.error = self.error or HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+        if parser and not self.error:
+            body, keep = b"".join(message.body), parser.should_keep_alive()
+            self._done.append(Request(parser.get_method(), self._target, message.headers, body, keep))
+        self._message, self._target = _Message(), b""
         self._begun = self.wants_continue = False
-        if not self.error:
-            head, parser = self._head, self._parser
-            body, keep = b"".join(head.body), parser.should_keep_alive()
-            self._done.append(Request(parser.get_method(), self._target, head.headers, body, keep))
 
 
 class ResponseParser:
@@ -116,49 +155,79 @@
         self.status = 0  # once the head is whole
         self.broken = False
         self._sink = on_body
-        self._parser = httptools.HttpResponseParser(self)
-        self._head = _Head()
+        self._message = _Message()
+        self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
+
+    def close(self) -> None:
+        """As for requests; this one is made anew for every answer."""
+        self._parser = None
 
     def feed(self, data: bytes) -> Response | None:
         """The response, once it is whole."""
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError:
-            self.broken = self.broken or self.response is None
+        if self._parser and not self.broken:
+            try:
+                self._parser.feed_data(data)
+            except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+                self._spoil()
+            # Announcements (1xx) and the answer's own head share one allowance: either may go on for ever.
+            self._message.raw_size += len(data)
+            if self.response is None and self._message.too_large and not (self._sink and self.status):
+                self.broken = True
         return None if self.broken else self.response
 
     def end(self) -> Response | None:
-        """The connection has ended in order: with no framing, that is what ends the body."""
-        framed = b"content-length" in self._head.headers or b"transfer-encoding" in self._head.headers
-        if self.response is None and self.status and not framed and not self.broken:
-            self.response = Response(self.status, self._head.headers, b"".join(self._head.body), False)
+        """The connection has ended in order: with no framing, that is what ends the body. Danger: so does
+        being cut short, and the two look alike. Only what serves nobody may end like this."""
+        message = self._message
+        if self.response is None and self.status > HTTPStatus.OK and not message.framed and not self.broken:
+            self.response = Response(self.status, message.headers, b"".join(message.body), False)
         return self.response
 
-    def on_message_begin(self) -> None:
-        if self.response is not None:  # bytes past its end: nobody asked for them
+    def _spoil(self) -> None:
+        if self.response is None:
+            self.broken = True
+        else:  # good as it is, but the connection brings more than belongs to it
             self.response = self.response._replace(keep_alive=False)
 
+    def on_message_begin(self) -> None:
+        if self.response is not None:
+            self._spoil()
+
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._head.add_header(name, value or b"")
-        self.broken = self.broken or self._head.head_size > MAX_HEAD
+        if self.response is None:
+            self._message.add_header(name, value or b"")
 
     def on_headers_complete(self) -> None:
-        if self.response is None:
-            self.status = self._parser.get_status_code()
+        if self.response is not None or self._parser is None:
+            return
+        message = self._message
+        self.status = self._parser.get_status_code()
+        message.end_head()
+        if self._sink is None and self.status >= HTTPStatus.OK:
+            unframed = self.status == HTTPStatus.OK and not message.framed
+            self.broken = self.broken or message.ambiguous or unframed or message.length > MAX_BODY
 
     def on_body(self, data: bytes) -> None:
         if self._sink:
             self._sink(data)
         elif self.response is None:
-            self._head.add_body(data, MAX_ANSWER)
-            self.broken = self.broken or self._head.body_size > MAX_ANSWER
+            self._message.add_body(data)
 
     def on_message_complete(self) -> None:
-        if self.status < HTTPStatus.OK:  # 100 Continue and its like announce, they do not answer
-            self.status, self._head = 0, _Head()
-        elif self.response is None:
-            body, keep = b"".join(self._head.body), self._parser.should_keep_alive()
-            self.response = Response(self.status, self._head.headers, body, keep)
+        if self.response is not None or self._parser is None:
+            return
+        if self.status == HTTPStatus.SWITCHING_PROTOCOLS:
+            self.broken = True
+        elif self.status < HTTPStatus.OK:  # 100 Continue and its like announce, they do not answer
+            self.status, raw_size = 0, self._message.raw_size
+            self._message = _Message()
+            self._message.raw_size = raw_size
+        elif not self.broken:
+            message = self._message
+            # Danger: bytes past the bound were not kept; what is left would pass for the whole.
+            self.broken = message.too_large
+            body, keep = b"".join(message.body), self._parser.should_keep_alive()
+            self.response = None if self.broken else Response(self.status, message.headers, body, keep)
 
 
 def encode_request(request: Request, host: bytes, headers: dict[bytes, bytes]) -> bytes:
--- a/anisespool/server.py
+++ b/anisespool/server.py
@@ -4,18 +4,21 @@
 
 import asyncio
 import hashlib
+import re
 import socket
 import sys
 import time
 from collections import deque
 from contextlib import suppress
 from http import HTTPStatus
+from itertools import islice
 from urllib.parse import unquote_to_bytes
 
 from anisespool import http1
 from anisespool.config import Address, Names
 from anisespool.sidecar import Answer, Call, Sidecar
 from shuntlead import Settings
+from shuntlead.interface import Effect
 
 BACKLOG = 512
 MOST_PIPELINED = 8  # requests read ahead on one connection
@@ -23,9 +26,19 @@
 ACCEPT_PAUSE_S = 0.05  # with no descriptor left
 READ_NS = 1_000_000  # a request that waited no longer has not waited
 LINGER_S = 1.0  # to let a client read why it was cut off
+SWALLOW_PAUSE_S = 0.004  # between two reads of what nobody wants any more
+SILENT_S = HALF_SENT_S = (
+    1.75  # for a first request, or the rest of one: a bad client is owed an end within 3 s
+)
+KEPT_S = 10.0  # at rest after an answer
+SWEEP_S = 0.25
+ACCEPTED_AT_ONCE = 8
 LONGEST_WAIT_MS = 3_600_000
 
 
+PLAIN = re.compile(rb"[!-~]{1,200}")  # nothing else goes into an endpoint's head
+
+
 class BadCall(ValueError):
     """A well-formed request that asks for nothing we have; carries the status to answer."""
 
@@ -35,16 +48,24 @@
 
 
 def read_call(request: http1.Request, names: Names, settings: Settings) -> Call:
-    """A request in the module's terms, or BadCall."""
+    """A request in the module's terms, or BadCall: what does not fit the protocol is not passed on."""
     if request.method not in (b"GET", b"POST"):
         raise BadCall(HTTPStatus.METHOD_NOT_ALLOWED, "GET and POST are served")
     parts = [part for part in request.target.partition(b"?")[0].split(b"/") if part]
     cls = names.classes.get(unquote_to_bytes(parts[0]).decode("latin-1")) if parts else None
     if cls is None:
         raise BadCall(HTTPStatus.NOT_FOUND, "no such class of requests")
-    headers = request.headers
-    if not headers.get(b"x-trace-id"):
-        raise BadCall(HTTPStatus.BAD_REQUEST, "X-Trace-Id is missing")
+    headers, effect = request.headers, settings.classes[cls].effect
+    if not PLAIN.fullmatch(headers.get(b"x-trace-id", b"")):
+        raise BadCall(HTTPStatus.BAD_REQUEST, "X-Trace-Id is missing, or no plain text")
+    if (request.method == b"GET") is not (effect is Effect.REPEATABLE):
+        raise BadCall(HTTPStatus.METHOD_NOT_ALLOWED, "this class is asked for in another way")
+    if request.method == b"GET" and request.body:
+        raise BadCall(HTTPStatus.BAD_REQUEST, "GET has no body")
+    if effect is not Effect.REPEATABLE:
+        key = headers.get(b"idempotency-key")
+        if (key is None) is (effect is Effect.BY_KEY) or key is not None and not PLAIN.fullmatch(key):
+            raise BadCall(HTTPStatus.BAD_REQUEST, "Idempotency-Key does not fit the class")
     left_ns = settings.classes[cls].deadline_ns
     if (left_ms := _number(headers, b"x-expires-in-ms")) is not None:
         left_ns = min(left_ms, LONGEST_WAIT_MS) * 1_000_000
@@ -85,6 +106,9 @@
         self._busy = self._closing = False
         self._keep_alive = True
         self._current = 0  # the driver's id of the request being worked on
+        self._trace_id = b""  # of the same, while it is open
+        self.served = False  # a request has come on it
+        self.quiet_since = time.monotonic()  # since when no request is open, nor more of one has begun
 
     @property
     def idle(self) -> bool:
@@ -99,13 +123,17 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        self._server.connections.add(self)
+        self._server.rest(self)
 
     def data_received(self, data: bytes) -> None:
-        if self._closing:
+        if self._closing or self._parser.error:
+            self._swallow()
             return
         now = time.monotonic_ns()
+        fresh = not self._parser.partial
         self._queue.extend((request, now) for request in self._parser.feed(data))
+        if fresh and not self._busy:
+            self.quiet_since = now / 1e9
         if self._parser.wants_continue and self._transport and not self._busy:
             self._parser.wants_continue = False
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -113,10 +141,22 @@
             self._transport.pause_reading()
         self._next()
 
+    def _swallow(self) -> None:
+        """Danger: one that goes on sending at full speed after its error would take all of the CPU."""
+        if self._transport and not self._transport.is_closing():
+            self._transport.pause_reading()
+            asyncio.get_running_loop().call_later(SWALLOW_PAUSE_S, self._resume)
+
+    def _resume(self) -> None:
+        if self._transport and not self._transport.is_closing():
+            self._transport.resume_reading()
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._closing = True
-        self._server.connections.discard(self)
+        self._server.forget(self)
+        self._parser.close()
         self._queue.clear()
+        self._release_trace_id()
         if self._busy and self._current:
             self._server.sidecar.client_gone(self._current)
 
@@ -125,12 +165,14 @@
         while not self._busy and not self._closing:
             if not self._queue:
                 if self._parser.error:
-                    self._reject(HTTPStatus(self._parser.error))
+                    self._reject(Answer(self._parser.error))
                 return
             request, came_ns = self._queue.popleft()
             if self._transport and len(self._queue) <= MOST_PIPELINED:
                 self._transport.resume_reading()
             self._busy, self._current, self._keep_alive = True, 0, request.keep_alive
+            self.served = True
+            self._server.work(self)
             self._work_on(request, came_ns)
 
     def _work_on(self, request: http1.Request, came_ns: int) -> None:
@@ -143,8 +185,9 @@
             return
         try:
             call = read_call(request, self._server.names, self._server.settings)
+            self._take_trace_id(request.headers[b"x-trace-id"])
         except BadCall as error:
-            self._answer(Answer(error.status, f"{error}\n".encode()))
+            self._reject(Answer(error.status, f"{error}\n".encode()))
             return
         waited_ns = time.monotonic_ns() - came_ns  # behind others that the client sent ahead of it
         call = call._replace(left_ns=max(0, call.left_ns - waited_ns)) if waited_ns > READ_NS else call
@@ -152,6 +195,19 @@
         if self._busy:
             self._current = current
 
+    def _take_trace_id(self, trace_id: bytes) -> None:
+        """Danger: with the id of another's open request one client could be served the other's answer, or
+        make an endpoint run one effect twice."""
+        if trace_id in self._server.open_ids:
+            raise BadCall(HTTPStatus.CONFLICT, "a request with this X-Trace-Id is open")
+        self._trace_id = trace_id
+        self._server.open_ids.add(trace_id)
+
+    def _release_trace_id(self) -> None:
+        if self._trace_id:
+            self._server.open_ids.discard(self._trace_id)
+            self._trace_id = b""
+
     def _answer_and_go_on(self, answer: Answer) -> None:
         self._answer(answer)
         if self._current:  # else _next is still at work, further down the stack
@@ -160,6 +216,7 @@
 
     def _answer(self, answer: Answer) -> None:
         self._busy = False
+        self._release_trace_id()
         if self._closing or not self._transport:
             return
         close = not self._keep_alive or self._server.stopping
@@ -167,15 +224,41 @@
         if close:
             self._closing = True
             self._transport.close()
+        self._server.rest(self)
 
-    def _reject(self, status: HTTPStatus) -> None:
-        """Danger: closing with input unread resets the connection, and the client never reads the answer.
-        So end our side, and wait for the client's end a little."""
-        self._closing = True
+    def _reject(self, answer: Answer) -> None:
+        """An error, and the end of the connection: kept, it would bring the same again at once. Danger:
+        closing with input unread resets it, and the client never reads the answer. So end our side, and
+        wait for the client's end a little."""
+        self._busy, self._closing = False, True
+        self._queue.clear()
+        self._server.rest(self)
         if self._transport:
-            self._transport.write(http1.encode_response(status, close=True))
+            self._transport.write(http1.encode_response(*answer, True))
             self._transport.write_eof()
-            asyncio.get_running_loop().call_later(LINGER_S, self._transport.abort)
+
+    def expire(self, now: float) -> None:
+        """No request is open here. Danger: what says nothing, stops halfway or goes on sending after its
+        error would hold a descriptor for ever."""
+        quiet = now - self.quiet_since
+        if self._closing or self._stuck:
+            if quiet > LINGER_S:
+                self.abort()
+        elif self._parser.partial:
+            if quiet > HALF_SENT_S:
+                self._reject(Answer(HTTPStatus.REQUEST_TIMEOUT))
+        elif quiet > (KEPT_S if self.served else SILENT_S):
+            self.close_if_idle()
+
+    @property
+    def _stuck(self) -> bool:
+        """An answer waits to be read by its client."""
+        return bool(self._transport and self._transport.get_write_buffer_size())
+
+    def abort(self) -> None:
+        self._closing = True
+        if self._transport:
+            self._transport.abort()
 
     def close_if_idle(self) -> None:
         if self.idle and self._transport:
@@ -188,16 +271,45 @@
 
     def __init__(self, sidecar: Sidecar, names: Names, settings: Settings, most: int) -> None:
         self.sidecar, self.names, self.settings = sidecar, names, settings
-        self.connections: set[ClientConnection] = set()
         self.stopping = False
+        self.open_ids: set[bytes] = set()  # trace ids of the requests being worked on
+        self._working: set[ClientConnection] = set()
+        # With no request open, in the order in which they fell quiet: new ones, and those served before.
+        self._unproven: dict[ClientConnection, None] = {}
+        self._kept: dict[ClientConnection, None] = {}
         self._most = most
         self._listener: socket.socket | None = None
         self._accepting: set[asyncio.Task[None]] = set()
 
+    @property
+    def connections(self) -> list[ClientConnection]:
+        return [*self._unproven, *self._kept, *self._working]
+
+    @property
+    def _count(self) -> int:
+        return len(self._unproven) + len(self._kept) + len(self._working) + len(self._accepting)
+
     @property
     def crowded(self) -> bool:
         """Too near the limit on descriptors: the newest are sent away, for without any nothing works."""
-        return len(self.connections) > self._most
+        return self._count > self._most
+
+    def work(self, connection: ClientConnection) -> None:
+        """A request is open on it: it must stay."""
+        self._unproven.pop(connection, None)
+        self._kept.pop(connection, None)
+        self._working.add(connection)
+
+    def rest(self, connection: ClientConnection) -> None:
+        """No request is open on it (any more)."""
+        self.forget(connection)
+        connection.quiet_since = time.monotonic()
+        (self._kept if connection.served else self._unproven)[connection] = None
+
+    def forget(self, connection: ClientConnection) -> None:
+        self._unproven.pop(connection, None)
+        self._kept.pop(connection, None)
+        self._working.discard(connection)
 
     def listen(self, address: Address) -> Address:
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -210,22 +322,44 @@
         return Address(*listener.getsockname())
 
     def _accept(self) -> None:
-        loop = asyncio.get_running_loop()
-        while self._listener:
-            try:
-                connected, _ = self._listener.accept()
-            except (BlockingIOError, InterruptedError, ConnectionError):
-                return
-            except OSError as error:
-                # Danger: with no descriptor left the listener stays readable, and the loop would spin.
-                print(f"server: {error}", file=sys.stderr)
-                loop.remove_reader(self._listener)
-                loop.call_later(ACCEPT_PAUSE_S, self._watch_listener)
+        """A few at a time: each may need room made for it, and that is free only after a turn of the loop."""
+        for _ in range(ACCEPTED_AT_ONCE):
+            if not self._accept_one():
                 return
-            connected.setblocking(False)
-            task = loop.create_task(self._serve(connected))
-            self._accepting.add(task)
-            task.add_done_callback(self._accepting.discard)
+
+    def _accept_all(self) -> None:
+        while self._accept_one():
+            pass
+
+    def _accept_one(self) -> bool:
+        loop = asyncio.get_running_loop()
+        if not self._listener:
+            return False
+        try:
+            connected, _ = self._listener.accept()
+        except (BlockingIOError, InterruptedError, ConnectionError):
+            return False
+        except OSError as error:
+            # Danger: with no descriptor left the listener stays readable, and the loop would spin.
+            print(f"server: {error}", file=sys.stderr)
+            loop.remove_reader(self._listener)
+            loop.call_later(ACCEPT_PAUSE_S, self._watch_listener)
+            return False
+        if self._count >= self._most:
+            self._make_room()
+        connected.setblocking(False)
+        task = loop.create_task(self._serve(connected))
+        self._accepting.add(task)
+        task.add_done_callback(self._accepting.discard)
+        return True
+
+    def _make_room(self) -> None:
+        """Danger: hundreds that connect and say nothing would crowd out those that ask. The oldest of the
+        new ones go first, for whoever means to ask does so at once; then the longest at rest."""
+        for connection in (*islice(self._unproven, 1), *islice(self._kept, 1)):
+            self.forget(connection)
+            connection.abort()
+            return
 
     def _watch_listener(self) -> None:
         if self._listener:
@@ -236,6 +370,14 @@
         with suppress(OSError):  # it may be reset by now
             await loop.connect_accepted_socket(lambda: ClientConnection(self), connected)
 
+    async def sweep(self) -> None:
+        """One look at all that have no request open, in place of a timer for each."""
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            now = time.monotonic()
+            for connection in [*self._unproven, *self._kept]:
+                connection.expire(now)
+
     async def stop(self, accept_s: float) -> None:
         """A planned restart: go on accepting for a while, then answer what was taken, and end."""
         self.stopping = True
@@ -245,7 +387,7 @@
         loop = asyncio.get_running_loop()
         if self._listener:
             loop.remove_reader(self._listener)
-            self._accept()  # Danger: closing resets what still waits in the listener's queue
+            self._accept_all()  # Danger: closing resets what still waits in the listener's queue
             self._listener.close()
             self._listener = None
         if self._accepting:
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -28,8 +28,10 @@
 class Driver:
     """Endpoints with one of them, number 1, and the attempts made."""
 
-    def __init__(self, address: Address, keepalive_ns: int = 10 * SECOND, most: int = 16) -> None:
-        self.endpoints = Endpoints(("queue", "inflight"), 200 * MS, keepalive_ns, most)
+    def __init__(
+        self, address: Address, keepalive_ns: int = 10 * SECOND, most: int = 16, rest_s: float = 0.0
+    ) -> None:
+        self.endpoints = Endpoints(("queue", "inflight"), 200 * MS, keepalive_ns, most, rest_s)
         self.endpoints.update(1, address, 0, True)
         self.ends: list[Attempt] = []
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -18,7 +18,7 @@
 
 from anisespool import discovery
 from anisespool.config import load
-from anisespool.endpoints import Endpoints
+from anisespool.endpoints import REST_S, Endpoints
 from anisespool.sidecar import Answer, Call, Sidecar
 from shuntlead import interface as api
 from shuntlead.interface import RosterForm
@@ -368,6 +368,7 @@
 ) -> None:
     async with Endpoint().serve() as endpoint, world(tmp_path, endpoint) as sidecar:
         assert (await exchange(sidecar.address, raw_call())).status == 200
+        await asyncio.sleep(REST_S)  # until the connection to the endpoint may be used again
         reader, writer = await asyncio.open_connection(*sidecar.address)
         soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
         client = socket.socket()
