--- a/anisespool/__main__.py
+++ b/anisespool/__main__.py
@@ -18,6 +18,7 @@
 
 ACCEPT_S = 0.5  # after SIGTERM: new connections go on coming for up to 0.4 s
 LAST_S = 4.0  # then nothing taken can still be in time
+COLLECT = (10_000, 20, 20)  # cycles are rare here: parsers let go of themselves
 SPARE_SOCKETS = 32  # descriptors for all but clients and endpoints, and for those on their way out
 CLIENTS_SHARE = 0.45  # of the others: an endpoint's connection may be busy for longer than its client's
 
@@ -56,6 +57,7 @@
     except OSError as error:
         raise ConfigError(f"LB_LISTEN: {error}") from None
     gc.freeze()  # what start-up made stays for good: no collection need look at it
+    gc.set_threshold(*COLLECT)
     await signals.stop.wait()
     try:
         async with asyncio.timeout(LAST_S):
--- a/anisespool/endpoints.py
+++ b/anisespool/endpoints.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import select
+import socket
 import time
 from collections.abc import Callable
 
@@ -63,6 +64,7 @@
 
     def __init__(self, address: Address, started_ns: int, open_to_new: bool) -> None:
         self.address, self.started_ns, self.open_to_new = address, started_ns, open_to_new
+        self.host = f"{address.host}:{address.port}".encode()
         self.heard_ns = 0  # when anything last came from it
         self.idle: list[Connection] = []  # the latest used last
         self.waiting: set[Attempt] = set()  # for a connection of their own
@@ -89,12 +91,15 @@
         self._attempt: Attempt | None = None
         self._parser: http1.ResponseParser | None = None
         self._transport: asyncio.Transport | None = None
+        self._poll: select.poll | None = None
         self.unwritten = False  # part of the request has not left for the kernel: it can't have run
         self.idle_since = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._poll = select.poll()
+        self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
         # With no room in the buffer, pause and resume tell exactly whether anything is left in it.
         transport.set_write_buffer_limits(high=0)
         self._owner.connections.add(self)
@@ -105,15 +110,18 @@
     def resume_writing(self) -> None:
         self.unwritten = False
 
+    @property
+    def closing(self) -> bool:
+        assert self._transport
+        return self._transport.is_closing()
+
     def fresh(self) -> bool:
         """Danger: an idle connection may have been closed by the endpoint a moment ago, with the news still
         unread in the kernel. A request written to it would end as a reset, which proves nothing."""
-        assert self._transport
-        if self._transport.is_closing():
+        if self.closing:
             return False
-        poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
+        assert self._poll
+        return not self._poll.poll(0)
 
     def start(self, attempt: Attempt, data: bytes) -> None:
         assert self._transport
@@ -262,15 +270,21 @@
     async def _open(self, pool: Pool, attempt: Attempt) -> None:
         connection: Connection | None = None
         loop = asyncio.get_running_loop()
+        sock: socket.socket | None = None
         try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            # By hand: the loop's own way looks the address up each time, at twice the cost.
             async with asyncio.timeout(self._connect_timeout_s):
-                _, connection = await loop.create_connection(lambda: Connection(self, pool), *pool.address)
+                await loop.sock_connect(sock, pool.address)
+                _, connection = await loop.create_connection(lambda: Connection(self, pool), sock=sock)
         except TimeoutError:
             if pool.heard_ns < attempt.started_ns:
                 pool.close_idle()  # as for Connection.suspect
         except OSError:
             pass
         finally:
+            if sock and connection is None:
+                sock.close()
             self._opening -= 1
             pool.waiting.discard(attempt)
         # Danger: one lost while it came up has told its loss already, and would never end the attempt.
@@ -285,17 +299,13 @@
 
     def _start(self, connection: Connection, pool: Pool, attempt: Attempt) -> None:
         left_ms = max(1, (attempt.deadline_ns - time.monotonic_ns()) // 1_000_000)
-        headers = {
-            name: attempt.request.headers[key]
-            for key, name in FORWARDED.items()
-            if key in attempt.request.headers
-        }
+        given = attempt.request.headers
+        headers = {name: given[key] for key, name in FORWARDED.items() if key in given}
         headers[b"X-Expires-In-Ms"] = b"%d" % left_ms
-        host = f"{pool.address.host}:{pool.address.port}".encode()
-        connection.start(attempt, http1.encode_request(attempt.request, host, headers))
+        connection.start(attempt, http1.encode_request(attempt.request, pool.host, headers))
 
     def release(self, connection: Connection, pool: Pool) -> None:
-        if pool.open_to_new and len(pool.idle) < MAX_IDLE and connection.fresh():
+        if pool.open_to_new and len(pool.idle) < MAX_IDLE and not connection.closing:
             connection.idle_since = time.monotonic()
             pool.idle.append(connection)
         else:
--- a/anisespool/http1.py
+++ b/anisespool/http1.py
@@ -36,6 +36,8 @@
     """What both directions collect, within bounds. Danger: the parser gathers a header's name and value
     before it tells of them, so what counts is the bytes that went in, not those that came out."""
 
+    __slots__ = ("ambiguous", "body", "body_size", "head_size", "headers", "in_head", "raw_size")
+
     def __init__(self) -> None:
         self.headers: dict[bytes, bytes] = {}
         self.body: list[bytes] = []
@@ -50,18 +52,21 @@
     @property
     def length(self) -> int:
         """As declared; the parser has seen to it that it is a number."""
-        return int(self.headers.get(b"content-length", b"0").strip() or b"0")
+        declared = self.headers.get(b"content-length")
+        return int(declared) if declared else 0
 
     @property
     def framed(self) -> bool:
         return b"content-length" in self.headers or b"transfer-encoding" in self.headers
 
     def add_header(self, name: bytes, value: bytes) -> None:
-        name = name.lower()
+        name, value = name.lower(), value or b""
         self.head_size += len(name) + len(value)
         if self.in_head:  # trailers come too late to mean anything
-            self.ambiguous = self.ambiguous or name in SINGLE and name in self.headers
-            self.headers.setdefault(name, value)
+            if name not in self.headers:
+                self.headers[name] = value
+            elif name in SINGLE:
+                self.ambiguous = True
 
     def add_body(self, data: bytes) -> None:
         self.body_size += len(data)
@@ -121,7 +126,7 @@
         self._message.head_size += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._message.add_header(name, value or b"")
+        self._message.add_header(name, value)
 
     def on_headers_complete(self) -> None:
         message = self._message
@@ -195,7 +200,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.response is None:
-            self._message.add_header(name, value or b"")
+            self._message.add_header(name, value)
 
     def on_headers_complete(self) -> None:
         if self.response is not None or self._parser is None:
--- a/anisespool/server.py
+++ b/anisespool/server.py
@@ -51,10 +51,12 @@
     if request.method not in (b"GET", b"POST"):
         raise BadCall(HTTPStatus.METHOD_NOT_ALLOWED, "GET and POST are served")
     parts = [part for part in request.target.partition(b"?")[0].split(b"/") if part]
-    cls = names.classes.get(unquote_to_bytes(parts[0]).decode("latin-1")) if parts else None
+    name = parts[0] if parts else b""
+    cls = names.classes.get((unquote_to_bytes(name) if b"%" in name else name).decode("latin-1"))
     if cls is None:
         raise BadCall(HTTPStatus.NOT_FOUND, "no such class of requests")
     headers, effect = request.headers, settings.classes[cls].effect
+    keyed = len(parts) > 1 and (settings.warm_keys or settings.classes[cls].in_order)
     if not PLAIN.fullmatch(headers.get(b"x-trace-id", b"")):
         raise BadCall(HTTPStatus.BAD_REQUEST, "X-Trace-Id is missing, or no plain text")
     if (request.method == b"GET") is not (effect is Effect.REPEATABLE):
@@ -75,7 +77,7 @@
         tenant=names.tenants.get(headers.get(b"x-customer", b"").decode("latin-1"), len(names.tenants)),
         left_ns=left_ns,
         hint_ns=None if hint_us is None else hint_us * 1000,
-        key=_key(parts[-1]) if len(parts) > 1 else 0,
+        key=_key(parts[-1]) if keyed else 0,  # a digest is not cheap: only where it decides something
         is_retry=headers.get(b"x-second-try") == b"1",
     )
 
--- a/anisespool/sidecar.py
+++ b/anisespool/sidecar.py
@@ -20,6 +20,7 @@
 
 ANSWER_RESERVE_NS = 10_000_000  # for the answer's way out: a client that has hung up was not answered
 BACKSTOP_NS = 4_000_000  # the last moment at which the driver answers by itself
+ENDINGS = (api.Outcome, api.ClientGone)  # after these a request may be over
 QUIET_S = 1.0  # between two tracebacks in the log
 
 
@@ -170,7 +171,7 @@
             perform = self._actions.get(type(action))
             if perform:  # else the settings forbid it, or the watch does it unasked
                 perform(action)
-        if isinstance(event, api.Outcome | api.ClientGone):
+        if isinstance(event, ENDINGS):
             self._forget(event.request)
 
     def _complain(self) -> None:
--- a/shuntlead/logic.py
+++ b/shuntlead/logic.py
@@ -56,7 +56,7 @@
 
 
 class Endpoint:
-    __slots__ = ("row", "id", "zone", "weight", "ready", "out", "slow", "slow_at", "by_class",
+    __slots__ = ("row", "id", "zone", "kind", "weight", "ready", "out", "slow", "slow_at", "by_class",
                  "queue", "queue_at", "since", "warm_at", "ramp")  # fmt: skip
 
     def __init__(self, row: api.Listed, settings: api.Settings) -> None:
@@ -70,7 +70,7 @@
         self.update(row)
 
     def update(self, row: api.Listed) -> None:
-        self.row, self.id, self.zone = row, row.endpoint, row.zone
+        self.row, self.id, self.zone, self.kind = row, row.endpoint, row.zone, (row.kind, row.zone)
         self.weight = row.weight if 0 < row.weight < 1e9 else 1.0
         self.ready = row.state == EndpointState.READY
 
@@ -234,13 +234,13 @@
     def _load(self, e: Endpoint) -> float:
         """L_i: the reported queue, faded by age toward the fleet's, and own sends since."""
         out, fade = len(e.out), exp2((e.queue_at - self.now) / self.forget_ns)
-        queue = self.mean_queue + (e.queue - self.mean_queue) * fade
-        return max(out, queue + min(e.since, out))
+        queue = self.mean_queue + (e.queue - self.mean_queue) * fade + (e.since if e.since < out else out)
+        return queue if queue > out else out
 
     def _slowdown(self, e: Endpoint, cls: int | None = None) -> float:
         """x_i, fading toward the fleet's mean so that one bad sample cannot starve an endpoint. Danger: one
         that fails a class and serves the others looks well by its mean: what its class knows comes first."""
-        slow = self._typical(e)
+        slow = self.kind_slow.get(e.kind) or self.mean_weight / e.weight  # _typical, without a call
         slow += (e.slow - slow) * exp2((e.slow_at - self.now) / self.forget_ns) if e.slow_at else 0
         if cls in e.by_class:
             own, at = e.by_class[cls]
@@ -252,7 +252,7 @@
 
     def _typical(self, e: Endpoint) -> float:
         """Danger: of many endpoints most are unheard of, and a slow kind would take a fast one's odds."""
-        return self.kind_slow.get((e.row.kind, e.zone)) or self.mean_weight / e.weight
+        return self.kind_slow.get(e.kind) or self.mean_weight / e.weight
 
     def _eligible(self, req: Pending) -> list[Endpoint]:
         # The first of this sidecar's own order: as many as it hears of often, as the design assumes.
@@ -489,7 +489,7 @@
 
     def _learn(self, e: Endpoint, slow: float, at: int) -> None:
         e.slow, e.slow_at, kind = slow, at, self._typical(e)
-        self.kind_slow[e.row.kind, e.zone] = kind + KIND_ALPHA * (slow - kind)
+        self.kind_slow[e.kind] = kind + KIND_ALPHA * (slow - kind)
 
     def _log(self, topic: str, text: str) -> None:
         # For docs/on-call.md. One line a topic in a longest deadline: a log must not become a load.
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -324,8 +324,8 @@
     loop = asyncio.get_running_loop()
     connect = loop.create_connection
 
-    async def lost_meanwhile(*args: Any) -> Any:
-        transport, protocol = await connect(*args)
+    async def lost_meanwhile(*args: Any, **names: Any) -> Any:
+        transport, protocol = await connect(*args, **names)
         await until(transport.is_closing)
         return transport, protocol
 
