--- a/anisespool/http1.py
+++ b/anisespool/http1.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import lru_cache
 from http import HTTPStatus
 from typing import NamedTuple
 
@@ -11,6 +12,7 @@
 MAX_BODY = 64 * 1024  # what the protocol allows a body, either way
 MAX_HEAD = 16 * 1024
 MAX_RAW = MAX_HEAD + 8 * MAX_BODY  # a whole message as it came: bytes in the smallest chunks cost six each
+PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 # A message with two of these could mean one thing here and another thing further on.
 SINGLE = frozenset(
     (b"content-length", b"transfer-encoding", b"host", b"x-trace-id", b"idempotency-key", b"x-expires-in-ms")
@@ -245,8 +247,7 @@
 
 
 def encode_response(status: int, body: bytes = b"", retry_after_s: float = 0.0, close: bool = False) -> bytes:
-    phrase = HTTPStatus(status).phrase.encode()
-    head = b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n" % (status, phrase, len(body))
+    head = b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n" % (status, PHRASES[status], len(body))
     if retry_after_s > 0:
         head += b"Retry-After: %.3f\r\n" % retry_after_s
     if close:
@@ -254,6 +255,7 @@
     return head + b"\r\n" + body
 
 
+@lru_cache(maxsize=64)  # an endpoint repeats its report in every answer until it has a new one
 def parse_load(value: bytes | None, columns: tuple[str, ...]) -> tuple[float, ...]:
     """`TEXT inflight=7, queue=2` in the order of the columns; nothing if any of it is not as it should be."""
     kind, _, rest = (value or b"").strip().partition(b" ")
