--- a/anisespool/server.py
+++ b/anisespool/server.py
@@ -243,7 +243,7 @@
         error would hold a descriptor for ever."""
         quiet = now - self.quiet_since
         if self._closing or self._stuck:
-            if quiet > LINGER_S:
+            if quiet > (KEPT_S if self._stuck else LINGER_S):  # a slow reader still gets its answer
                 self.abort()
         elif self._parser.partial:
             if quiet > HALF_SENT_S:
