Refuse for want of room only when the open requests fill it

Ruled out: the module (its log has no line of refusing to match) and the endpoints (2 errors, 1 failed connect). Cause (server.py): 'crowded' counted connections at rest, and those just accepted twice. Where clients come by hundreds, the count stood at its limit and every request got 503 and a close, and its client came anew. Test: at the limit, with others coming, 30 requests are all served; the old code refuses some.

--- a/anisespool/server.py
+++ b/anisespool/server.py
@@ -9,7 +9,6 @@
 import sys
 import time
 from collections import deque
-from contextlib import suppress
 from http import HTTPStatus
 from itertools import islice
 from urllib.parse import unquote_to_bytes
@@ -124,7 +123,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        self._server.rest(self)
+        self._server.arrive(self)
 
     def data_received(self, data: bytes) -> None:
         if self._closing or self._parser.error:
@@ -278,6 +277,7 @@
         # With no request open, in the order in which they fell quiet: new ones, and those served before.
         self._unproven: dict[ClientConnection, None] = {}
         self._kept: dict[ClientConnection, None] = {}
+        self._arriving = 0  # accepted, and not yet a connection
         self._most = most
         self._listener: socket.socket | None = None
         self._accepting: set[asyncio.Task[None]] = set()
@@ -288,12 +288,17 @@
 
     @property
     def _count(self) -> int:
-        return len(self._unproven) + len(self._kept) + len(self._working) + len(self._accepting)
+        return len(self._unproven) + len(self._kept) + len(self._working) + self._arriving
 
     @property
     def crowded(self) -> bool:
-        """Too near the limit on descriptors: the newest are sent away, for without any nothing works."""
-        return self._count > self._most
+        """Too near the limit on descriptors: the newest are sent away, for without any nothing works. Danger:
+        those at rest make room when they must. Counted here, they would have every request refused."""
+        return len(self._working) > self._most
+
+    def arrive(self, connection: ClientConnection) -> None:
+        self._arriving -= 1
+        self.rest(connection)
 
     def work(self, connection: ClientConnection) -> None:
         """A request is open on it: it must stay."""
@@ -349,6 +354,7 @@
         if self._count >= self._most:
             self._make_room()
         connected.setblocking(False)
+        self._arriving += 1
         task = loop.create_task(self._serve(connected))
         self._accepting.add(task)
         task.add_done_callback(self._accepting.discard)
@@ -368,8 +374,10 @@
 
     async def _serve(self, connected: socket.socket) -> None:
         loop = asyncio.get_running_loop()
-        with suppress(OSError):  # it may be reset by now
+        try:
             await loop.connect_accepted_socket(lambda: ClientConnection(self), connected)
+        except OSError:  # it may be reset by now
+            self._arriving -= 1
 
     async def sweep(self) -> None:
         """One look at all that have no request open, in place of a timer for each."""
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -181,3 +181,23 @@
         writer.transport.abort()
         await until(lambda: endpoint.ended == 1)
         assert monotonic() - left < 0.4
+
+
+@limited
+async def test_at_the_limit_those_that_ask_are_served_while_others_keep_coming(tmp_path: Path) -> None:
+    """Connections at rest fill all the room there is, and each that comes takes the place of one."""
+    async with Endpoint().serve() as endpoint, world(tmp_path, endpoint) as sidecar:
+        opened = []
+
+        async def come() -> None:
+            while True:
+                opened.append((await asyncio.open_connection(*sidecar.address))[1])
+
+        coming = [asyncio.create_task(come()) for _ in range(8)]
+        await until(lambda: len(opened) > 150)
+        statuses = [(await exchange(sidecar.address, raw_call("once", f"t{n}"))).status for n in range(30)]
+        for task in coming:
+            task.cancel()
+        for writer in opened:
+            writer.transport.abort()
+        assert statuses == [200] * 30
