--- a/anisespool/__main__.py
+++ b/anisespool/__main__.py
@@ -20,7 +20,7 @@
 LAST_S = 4.0  # then nothing taken can still be in time
 COLLECT = (10_000, 20, 20)  # cycles are rare here: parsers let go of themselves
 SPARE_SOCKETS = 32  # descriptors for all but clients and endpoints, and for those on their way out
-CLIENTS_SHARE = 0.45  # of the others: an endpoint's connection may be busy for longer than its client's
+CLIENTS_SHARE = 0.6  # of the others: many at rest beside those busy, of which each needs one to an endpoint
 
 
 class Signals:
--- a/anisespool/server.py
+++ b/anisespool/server.py
@@ -5,12 +5,13 @@
 import asyncio
 import hashlib
 import re
+import select
 import socket
 import sys
 import time
 from collections import deque
 from http import HTTPStatus
-from itertools import islice
+from itertools import chain, islice
 from urllib.parse import unquote_to_bytes
 
 from anisespool import http1
@@ -29,7 +30,10 @@
 SILENT_S = 2.1  # for a first request
 HALF_SENT_S = 2.6  # for the rest of a request: good clients may be slow, bad ones are owed an end within 3 s
 KEPT_S = 10.0  # at rest after an answer
+UNREAD_S = 10.0  # an answer that its client does not read
 SWEEP_S = 0.1
+ASK_S = 0.2  # one that means to ask has done so by then
+LOOK = 16  # at so many, to find one that may go
 ACCEPTED_AT_ONCE = 8
 LONGEST_WAIT_MS = 3_600_000
 
@@ -242,7 +246,7 @@
         error would hold a descriptor for ever."""
         quiet = now - self.quiet_since
         if self._closing or self._stuck:
-            if quiet > (KEPT_S if self._stuck else LINGER_S):  # a slow reader still gets its answer
+            if quiet > (UNREAD_S if self._stuck else LINGER_S):  # a slow reader still gets its answer
                 self.abort()
         elif self._parser.partial:
             if quiet > HALF_SENT_S:
@@ -255,6 +259,15 @@
         """An answer waits to be read by its client."""
         return bool(self._transport and self._transport.get_write_buffer_size())
 
+    @property
+    def unread(self) -> bool:
+        """Something waits in the kernel to be read."""
+        if not self._transport or self._transport.is_closing():
+            return False
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def abort(self) -> None:
         self._closing = True
         if self._transport:
@@ -361,12 +374,16 @@
         return True
 
     def _make_room(self) -> None:
-        """Danger: hundreds that connect and say nothing would crowd out those that ask. The oldest of the
-        new ones go first, for whoever means to ask does so at once; then the longest at rest."""
-        for connection in (*islice(self._unproven, 1), *islice(self._kept, 1)):
-            self.forget(connection)
-            connection.abort()
-            return
+        """Danger: hundreds that connect and say nothing would crowd out those that ask. Whoever means to ask
+        does so at once: so the oldest that have not, then those longest at rest, and the newest only if
+        there is nothing else. One whose request waits unread is passed over."""
+        latest = time.monotonic() - ASK_S
+        silent = (c for c in self._unproven if c.quiet_since < latest)
+        for connection in chain(islice(silent, LOOK), islice(self._kept, LOOK), islice(self._unproven, LOOK)):
+            if not connection.unread:
+                self.forget(connection)
+                connection.abort()
+                return
 
     def _watch_listener(self) -> None:
         if self._listener:
