Sort the sidecar into packages by concern, and grow the tests' peers into stand-ins

Need: a command, an agent and further protocols need places of their own, and benchmarks imported tests.

Change: fronts, core, backs, wire, membership and config as docs/architecture.md draws them (git mv), Attempt and Call in modules of their own; stand-ins in anisespool/standins with an HTTP reader written from RFC 9112 in place of the sidecar's own parser; a test holds the arrows and what a sidecar without words never loads.

--- /dev/null
+++ b/anisespool/backs/__init__.py
@@ -0,0 +1,1 @@
+"""The endpoints' side, one module a protocol."""
--- a/anisespool/endpoints.py
+++ b/anisespool/backs/http1.py
@@ -1,5 +1,4 @@
-"""Connections to endpoints. An attempt ends in exactly one status, and that status never says 'not run'
-of what may have run. Nothing here sends anything twice."""
+"""Connections to endpoints over HTTP/1.1. Nothing here sends anything twice."""
 
 from __future__ import annotations
 
@@ -7,10 +6,10 @@
 import select
 import socket
 import time
-from collections.abc import Callable
 
-from anisespool import http1
-from anisespool.config import Address
+from anisespool.backs.attempt import Attempt
+from anisespool.config.platform import Address
+from anisespool.wire import http1
 from shuntlead.interface import Status
 
 FORWARDED = {b"x-trace-id": b"X-Trace-Id", b"idempotency-key": b"Idempotency-Key",
@@ -21,44 +20,6 @@
 SWEEP_S = 1.0
 
 
-class Attempt:
-    """One try of a request at one endpoint, from the Send until its one status."""
-
-    __slots__ = ("_timer", "connection", "deadline_ns", "endpoint", "load", "number", "on_end", "request",
-                 "request_id", "response", "started_ns", "status")  # fmt: skip
-
-    def __init__(self, request_id: int, number: int, endpoint: int, request: http1.Request, deadline_ns: int,
-                 on_end: Callable[[Attempt], None]) -> None:  # fmt: skip
-        self.request_id, self.number, self.endpoint = request_id, number, endpoint
-        self.request, self.deadline_ns, self.on_end = request, deadline_ns, on_end
-        self.started_ns = time.monotonic_ns()
-        self.status: Status | None = None
-        self.response: http1.Response | None = None
-        self.load: tuple[float, ...] = ()
-        self.connection: Connection | None = None
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_at(deadline_ns / 1e9, self.give_up, Status.TIMEOUT)
-
-    def end(self, status: Status, response: http1.Response | None = None) -> None:
-        """The first end is the only one."""
-        if self.status is None:
-            self.status, self.response = status, response
-            self._timer.cancel()
-            self.on_end(self)
-
-    def give_up(self, status: Status) -> None:
-        """Stop waiting. What never had a connection has surely not run, whatever made us stop."""
-        if self.status is not None:
-            return
-        connection, self.connection = self.connection, None
-        if connection and status is Status.TIMEOUT:
-            connection.suspect(self.started_ns)
-        unsent = connection is None or connection.unwritten
-        if connection:
-            connection.discard()
-        self.end(Status.CONNECT_FAILED if unsent and status is Status.TIMEOUT else status)
-
-
 class Pool:
     """What is known of one endpoint's address, and the connections to it."""
 
--- /dev/null
+++ b/anisespool/core/call.py
@@ -0,0 +1,27 @@
+"""A request and its answer as every front and every back see them."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from anisespool.wire import http1
+
+
+class Answer(NamedTuple):
+    """A final answer to the client."""
+
+    status: int
+    body: bytes = b""
+    retry_after_s: float = 0.0
+
+
+class Call(NamedTuple):
+    """A request as the server read it, in the module's terms."""
+
+    request: http1.Request
+    cls: int
+    tenant: int
+    left_ns: int
+    hint_ns: int | None
+    key: int
+    is_retry: bool
--- a/anisespool/sidecar.py
+++ b/anisespool/core/sidecar.py
@@ -9,11 +9,11 @@
 import traceback
 from collections import deque
 from collections.abc import Callable
-from typing import NamedTuple
 
-from anisespool import http1
-from anisespool.config import Config, MemberList
-from anisespool.endpoints import Attempt, Endpoints
+from anisespool.backs.attempt import Attempt
+from anisespool.backs.http1 import Endpoints
+from anisespool.config.platform import Config, MemberList
+from anisespool.core.call import Answer, Call
 from shuntlead import Balancer
 from shuntlead import interface as api
 from shuntlead.interface import EndpointState, RosterForm, Status
@@ -24,26 +24,6 @@
 QUIET_S = 1.0  # between two tracebacks in the log
 
 
-class Answer(NamedTuple):
-    """A final answer to the client."""
-
-    status: int
-    body: bytes = b""
-    retry_after_s: float = 0.0
-
-
-class Call(NamedTuple):
-    """A request as the server read it, in the module's terms."""
-
-    request: http1.Request
-    cls: int
-    tenant: int
-    left_ns: int
-    hint_ns: int | None
-    key: int
-    is_retry: bool
-
-
 class _Exchange:
     """A request from its arrival until its last attempt has ended."""
 
--- /dev/null
+++ b/anisespool/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""The application's side, one module a protocol."""
--- a/anisespool/server.py
+++ b/anisespool/fronts/http1.py
@@ -14,10 +14,11 @@
 from itertools import chain, islice
 from urllib.parse import unquote_to_bytes
 
-from anisespool import http1
-from anisespool.config import Address, Names
+from anisespool.config.platform import Address, Names
+from anisespool.core.call import Answer, Call
+from anisespool.core.sidecar import Sidecar
 from anisespool.rules.resting import Habit, Rest, Resting
-from anisespool.sidecar import Answer, Call, Sidecar
+from anisespool.wire import http1
 from shuntlead import Settings
 from shuntlead.interface import Effect
 
--- /dev/null
+++ b/anisespool/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Sources of the list of endpoints."""
--- a/anisespool/discovery.py
+++ b/anisespool/membership/watch.py
@@ -9,8 +9,8 @@
 import traceback
 from collections.abc import Callable
 
-from anisespool import http1
-from anisespool.config import Address, MemberList, Names
+from anisespool.config.platform import Address, MemberList, Names
+from anisespool.wire import http1
 
 SILENCE_S = 5.0  # an empty line is due every 2 s: a cut-off peer says nothing, TCP does not notice
 FIRST_WAIT_S, LONGEST_WAIT_S = 0.05, 2.0  # news counts as told after 6 s
--- /dev/null
+++ b/anisespool/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Bytes and framing without sockets."""
--- /dev/null
+++ b/tests/test_arrows.py
@@ -0,0 +1,67 @@
+"""Who may import whom, as docs/architecture.md draws it; and what the sidecar without words never loads."""
+
+from __future__ import annotations
+
+import ast
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+BASE = {"wire", "rules", "config"}  # what everything may use
+MAY = {
+    "config": set(),
+    "wire": set(),
+    "rules": set(),
+    "membership": BASE,
+    "backs": BASE,
+    "core": BASE | {"backs"},
+    "fronts": BASE | {"core"},
+    "control": BASE | {"core"},
+    "agent": BASE | {"control"},
+    "cli": BASE | {"agent", "standins", "instance"},
+    "standins": BASE | {"agent"},
+    "instance": BASE | {"core", "fronts", "backs", "membership", "control"},
+    "__main__": {"instance", "cli"},
+}  # fmt: skip
+IN_RULES = {"anisespool.rules", "shuntlead.interface"}
+
+
+def imported(path: Path) -> set[str]:
+    names: set[str] = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom) and node.module:
+            names |= {node.module} | {f"{node.module}.{alias.name}" for alias in node.names}
+        elif isinstance(node, ast.Import):
+            names |= {alias.name for alias in node.names}
+    return names
+
+
+@pytest.mark.parametrize("package", sorted(MAY))
+def test_imports_follow_the_arrows(package: str) -> None:
+    place = ROOT / "anisespool" / package
+    for path in sorted(place.rglob("*.py")) if place.is_dir() else [place.with_suffix(".py")]:
+        for name in imported(path):
+            assert name.partition(".")[0] not in ("tests", "benchmarks"), f"{path}: {name}"
+            inner = name.split(".")
+            if inner[0] == "anisespool" and len(inner) > 1 and inner[1] != "__init__":
+                assert inner[1] in MAY[package] | {package}, f"{path}: {name}"
+            if package == "rules" and inner[0] in ("anisespool", "shuntlead"):
+                assert any(name.startswith(allowed) for allowed in IN_RULES), f"{path}: {name}"
+
+
+def test_every_package_has_its_place() -> None:
+    there = {p.stem for p in (ROOT / "anisespool").iterdir() if not p.stem.endswith("__") or p.stem == "__main__"}
+    assert {name for name in there if not name.startswith(".")} <= set(MAY)
+
+
+def test_a_sidecar_without_words_loads_nothing_of_what_is_switched_on_elsewhere() -> None:
+    code = "import sys, anisespool.instance as i; print(*sys.modules)"
+    loaded = set(subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout.split())
+    assert "anisespool.fronts.http1" in loaded
+    for name in ("msgspec", "tomllib", "typer", "click", "rich", "grpc", "sqlite3", "structlog", "numpy",
+                 "anisespool.control", "anisespool.agent", "anisespool.cli", "anisespool.standins",
+                 "anisespool.config.operator"):  # fmt: skip
+        assert name not in loaded, name
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -9,8 +9,10 @@
 
 import pytest
 
-from anisespool import server
-from tests.net import Endpoint, exchange, limited, raw_call, read_response, until, world
+from anisespool.fronts import http1 as server
+from anisespool.standins.http1 import read_response
+from anisespool.standins.peers import Endpoint
+from tests.net import exchange, limited, raw_call, until, world
 from tests.test_endpoints import say_nothing
 from tests.test_sidecar import slow
 
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -11,11 +11,13 @@
 
 import pytest
 
-from anisespool.config import Address
-from anisespool.endpoints import Attempt, Endpoints
-from anisespool.http1 import Request
+from anisespool.backs.attempt import Attempt
+from anisespool.backs.http1 import Endpoints
+from anisespool.config.platform import Address
+from anisespool.standins.peers import OK, Endpoint, reset
+from anisespool.wire.http1 import Request
 from shuntlead.interface import Status
-from tests.net import OK, Endpoint, limited, reset, until
+from tests.net import limited, until
 from tests.support import MS, SECOND
 
 GET = Request(b"GET", b"/look/1?q=2", {b"x-trace-id": b"t9", b"x-other": b"no"}, b"", True)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -12,18 +12,15 @@
 
 import pytest
 
-from anisespool.config import Address, ConfigError, load
-from tests.net import OK, Endpoint, exchange, limited, member, raw_call, read_response, until, write_config
+from anisespool.config.platform import Address, ConfigError, load
+from anisespool.standins.http1 import read_response
+from anisespool.standins.peers import OK, Endpoint
+from anisespool.standins.site import free_port, member
+from tests.net import exchange, limited, raw_call, until, write_config
 
 NOWHERE = Address("127.0.0.1", 1)
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 @pytest.mark.parametrize("name", ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_CONFIG"])
 @pytest.mark.parametrize("value", ["", "nonsense"])
 def test_a_bad_variable_is_named(tmp_path: Path, name: str, value: str) -> None:
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -11,22 +11,14 @@
 
 import pytest
 
-from anisespool import discovery
-from anisespool.config import Address
-from tests.net import (
-    Discovery,
-    Endpoint,
-    exchange,
-    limited,
-    member,
-    member_list,
-    raw_call,
-    until,
-    write_config,
-)
+from anisespool.config.platform import Address
+from anisespool.membership import watch as discovery
+from anisespool.standins.peers import Discovery, Endpoint
+from anisespool.standins.site import free_port, member, member_list
+from tests.net import exchange, limited, raw_call, until, write_config
 from tests.net import world as sidecar_world
 from tests.test_endpoints import say_nothing
-from tests.test_program import NOWHERE, free_port, start
+from tests.test_program import NOWHERE, start
 
 
 def name_discovery(file: Path, address: Address) -> None:
--- a/tests/test_resting.py
+++ b/tests/test_resting.py
@@ -8,10 +8,12 @@
 
 import pytest
 
-from anisespool import server
-from anisespool.config import Address
+from anisespool.config.platform import Address
+from anisespool.fronts import http1 as server
 from anisespool.rules.resting import LEAST, Habit, Rest, Resting
-from tests.net import Endpoint, limited, read_response, until, world
+from anisespool.standins.http1 import read_response
+from anisespool.standins.peers import Endpoint
+from tests.net import limited, until, world
 from tests.net import raw_call as call
 
 DESCRIPTORS = 384  # a third of them, 128, is what the client side may hold
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -16,27 +16,17 @@
 
 import pytest
 
-from anisespool import discovery
-from anisespool.config import load
-from anisespool.endpoints import REST_S, Endpoints
-from anisespool.sidecar import Answer, Call, Sidecar
+from anisespool.backs.http1 import REST_S, Endpoints
+from anisespool.config.platform import load
+from anisespool.core.call import Answer, Call
+from anisespool.core.sidecar import Sidecar
+from anisespool.membership import watch as discovery
+from anisespool.standins.http1 import read_response
+from anisespool.standins.peers import OK, Endpoint, reset
+from anisespool.standins.site import member, member_list
 from shuntlead import interface as api
 from shuntlead.interface import RosterForm
-from tests.net import (
-    OK,
-    SLACK_S,
-    Endpoint,
-    exchange,
-    limited,
-    member,
-    member_list,
-    raw_call,
-    read_response,
-    reset,
-    until,
-    world,
-    write_config,
-)
+from tests.net import SLACK_S, exchange, limited, raw_call, until, world, write_config
 from tests.support import MS, SECOND
 from tests.test_endpoints import GET, answer, hang_up, say_nothing
 
