Test the hard cases of many instances: kills at each step, silence, refusals, full disks

Need: the agent must stay right when it, an instance or a change dies half-way.

Found on the way: a change that all had could be superseded before it was written down as settled, and then a restarted instance fell back too far; a read cleared the store's trouble.

--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,15 @@
-PYTHON ?= python3.11
+PYTHON ?= python3
 .PHONY: test demo proto
+.DEFAULT_GOAL := test
 
 .venv/ready: pyproject.toml
 	$(PYTHON) -m venv .venv
 	.venv/bin/pip install --quiet --disable-pip-version-check -e '.[dev]'
 	touch $@
 
+# The README's test command, word for word, as CI reads it.
 test: .venv/ready
-	. .venv/bin/activate && $$(sed -n 's/^    \(ruff check .*pytest.*\)$$/eval \1/p' README.md)
+	. .venv/bin/activate && eval "$$(sed -n 's/^    \(ruff check .*pytest.*\)$$/\1/p' README.md)"
 
 demo: .venv/ready
 	.venv/bin/python -m anisespool demo
--- a/anisespool/agent/reconciler.py
+++ b/anisespool/agent/reconciler.py
@@ -19,7 +19,7 @@
 from anisespool.agent.fleet import Fleet
 from anisespool.agent.link import Link, LinkError, Reach, RefusedError
 from anisespool.agent.store import Books, Change, Draft, Drains, Sent, Store
-from anisespool.agent.waves import Standing, State, Verdict, plan, steered, wanted
+from anisespool.agent.waves import Plan, Standing, State, Verdict, plan, steered, wanted
 from anisespool.config.operator import Agent, Document, digest
 
 log = structlog.get_logger()
@@ -110,7 +110,9 @@
 
     async def add(self, draft: Draft, base: int) -> Change:
         """A new newest change; StaleError if another came first."""
-        seen = max((link.state["generation"] for link in self._known()), default=0)
+        newest, seen = self.newest, max((link.state["generation"] for link in self._known()), default=0)
+        if newest and newest.state is State.RUNNING and self._plan(newest).verdict is Verdict.SETTLED:
+            await self._move(newest, State.SETTLED, "")  # all had it, and it was not written down yet
         change = await self._books.run(lambda db: Store.add(db, draft, base, seen))
         self._step(Step.RECORDED)
         self.newest, self._sent, self._rest_until = change, {}, 0.0
@@ -214,9 +216,12 @@
             await self._next_wave(newest)
         await self._bring_back(newest)
 
-    async def _next_wave(self, newest: Change) -> None:
+    def _plan(self, newest: Change) -> Plan:
         standings = {link.name: self.standing(link) or Standing.LACKS for link in self.targets()}
-        step = plan(standings, newest.policy, time.monotonic() >= self._rest_until)
+        return plan(standings, newest.policy, time.monotonic() >= self._rest_until)
+
+    async def _next_wave(self, newest: Change) -> None:
+        step = self._plan(newest)
         if step.verdict is Verdict.PAUSE:
             await self._move(newest, State.PAUSED, step.reason)
         elif step.verdict is Verdict.SETTLED:
--- a/anisespool/agent/store.py
+++ b/anisespool/agent/store.py
@@ -240,8 +240,9 @@
 
 
 def _change(row: tuple[Any, ...]) -> Change:
-    generation, base, digest, content, state, reason, author, note, created, *limits, force, settle = row
-    policy = Policy(*limits, bool(force))
+    generation, base, digest, content, state, reason, author, note, created, *rest = row
+    wave, first, refused, unreachable, force, settle = rest
+    policy = Policy(wave, first, refused, unreachable, bool(force))
     return Change(
         generation, base, digest, content, State(state), reason, author, note, created, policy, settle
     )
@@ -256,7 +257,7 @@
         self._thread = ThreadPoolExecutor(1, thread_name_prefix="store")
         self._queue: deque[tuple[Callable[[sqlite3.Connection], Any], asyncio.Future[Any]]] = deque()
         self._flusher: asyncio.Task[None] | None = None
-        self.trouble = ""  # why the last commit failed; empty: it did not
+        self.trouble = ""  # why the last write failed; empty: it did not
 
     async def run(self, work: Callable[[sqlite3.Connection], T]) -> T:
         """The result of `work` once it is on disk; an exception of it undoes it alone."""
@@ -272,7 +273,6 @@
             batch, self._queue = list(self._queue), deque()
             try:
                 results = await loop.run_in_executor(self._thread, self._commit, [work for work, _ in batch])
-                self.trouble = ""
             except sqlite3.Error as error:
                 self.trouble = str(error)
                 results = [error] * len(batch)
@@ -285,7 +285,7 @@
                     future.set_result(result)
 
     def _commit(self, batch: list[Callable[[sqlite3.Connection], Any]]) -> list[Any]:
-        db, results = self._db, []
+        db, results, before = self._db, [], self._db.total_changes
         db.execute("BEGIN IMMEDIATE")
         try:
             for work in batch:
@@ -297,6 +297,8 @@
                     results.append(error)
                 db.execute("RELEASE one")
             db.execute("COMMIT")
+            if db.total_changes > before:  # a read that succeeds does not tell that there is room again
+                self.trouble = ""
         except BaseException:
             if db.in_transaction:
                 db.execute("ROLLBACK")
--- a/anisespool/cli/main.py
+++ b/anisespool/cli/main.py
@@ -300,7 +300,7 @@
 def main() -> int:
     """The command's exit status."""
     try:
-        result = app(standalone_mode=False)
+        result = app(standalone_mode=False, prog_name="anisespool")
     except CommandError as error:
         print(f"anisespool: {error}", file=sys.stderr)
         return error.status
--- a/anisespool/cli/show.py
+++ b/anisespool/cli/show.py
@@ -7,7 +7,6 @@
 from collections.abc import Iterable
 from typing import Any
 
-from google.protobuf.json_format import MessageToDict
 from rich.console import Console
 from rich.live import Live
 from rich.table import Table
@@ -27,10 +26,17 @@
 
 
 def as_dict(message: Any) -> dict[str, Any]:
-    """A message with the proto's own names, and its defaults."""
-    made: dict[str, Any] = MessageToDict(
-        message, preserving_proto_field_name=True, always_print_fields_with_no_presence=True
-    )
+    """A message with the proto's own names, and its defaults. Not protobuf's own JSON, which makes text of
+    64-bit numbers."""
+    made: dict[str, Any] = {}
+    for field in message.DESCRIPTOR.fields:
+        value = getattr(message, field.name)
+        if field.is_repeated:
+            made[field.name] = [as_dict(item) if field.message_type else item for item in value]
+        elif field.message_type:
+            made[field.name] = as_dict(value) if message.HasField(field.name) else None
+        else:
+            made[field.name] = value
     return made
 
 
--- a/anisespool/control/desk.py
+++ b/anisespool/control/desk.py
@@ -9,7 +9,6 @@
 from uuid import uuid4
 
 from anisespool import __version__
-from anisespool.backs.http1 import Endpoints
 from anisespool.config import operator
 from anisespool.config.operator import Document, OperatorFile
 from anisespool.config.platform import Address, Config, ConfigError
@@ -43,10 +42,9 @@
     """The verbs, and what they change."""
 
     def __init__(
-        self, config: Config, file: OperatorFile, sidecar: ObservedSidecar, endpoints: Endpoints,
-        steering: Steering,
-    ) -> None:  # fmt: skip
-        self._config, self._sidecar, self._endpoints, self._steering = config, sidecar, endpoints, steering
+        self, config: Config, file: OperatorFile, sidecar: ObservedSidecar, steering: Steering
+    ) -> None:
+        self._config, self._sidecar, self._steering = config, sidecar, steering
         self._file, self._now = file, file  # as started, and with the document in force
         self._held = Held(0, operator.digest(Document()))
         self._drained, self._drains_revision = Drained(frozenset(file.endpoints.drained)), 0
@@ -92,7 +90,7 @@
             name = names.get(view.endpoint)
             if name is None:
                 continue
-            idle, waiting = self._endpoints.counted(view.endpoint)
+            idle, waiting = self._sidecar.counted(view.endpoint)
             rows.append({
                 "id": name, **self._sidecar.where(name), "state": EndpointState(view.state).name.lower(),
                 "drained": self._cause(name), "odds": round(view.odds, 4),
@@ -214,7 +212,7 @@
         """What is now in force reaches those that work by it."""
         connections, given = self._now.connections, self._config.settings.tenants
         timeout = connections.connect_timeout_ms
-        self._endpoints.tune(
+        self._sidecar.tune(
             connections.idle_per_endpoint, connections.rest_ms / 1e3, timeout / 1e3 if timeout else None
         )
         self._steering.tune(connections.client_kept_s)
--- a/anisespool/control/observed.py
+++ b/anisespool/control/observed.py
@@ -4,7 +4,6 @@
 
 from typing import Any
 
-from anisespool.backs.http1 import Endpoints
 from anisespool.config.platform import Config
 from anisespool.core.call import Answer
 from anisespool.core.sidecar import Exchange, Sidecar
@@ -18,8 +17,8 @@
 class ObservedSidecar(Sidecar):
     """Counts final answers by class and outcome, and shows the module."""
 
-    def __init__(self, config: Config, endpoints: Endpoints) -> None:
-        super().__init__(config, endpoints)
+    def __init__(self, config: Config, backs: Any) -> None:
+        super().__init__(config, backs)
         kinds = ("served", "refused", "failed", "gone")
         self.counts = [dict.fromkeys(kinds, 0) for _ in config.settings.classes]
 
@@ -37,6 +36,14 @@
     def module(self, now: int, most: int) -> ModuleView:
         return look(self._balancer, now, most)
 
+    def tune(self, max_idle: int, rest_s: float, connect_timeout_s: float | None) -> None:
+        """How connections to endpoints are kept."""
+        self._endpoints.tune(max_idle, rest_s, connect_timeout_s)
+
+    def counted(self, number: int) -> tuple[int, int]:
+        """Connections to an endpoint: idle, and attempts that wait for one."""
+        return self._endpoints.counted(number)
+
     def endpoint_names(self) -> dict[int, str]:
         return {number: name for name, number in self._numbers.items()}
 
--- a/anisespool/control/server.py
+++ b/anisespool/control/server.py
@@ -138,6 +138,8 @@
             self.cut()
             return
         for request in self._parser.feed(data):
+            if self._sock.fileno() < 0:
+                return  # cut off on the way: it sends and does not read
             self._reply(*self._server.answer(request), close=not request.keep_alive)
         if self._parser.error:
             text = f"no request of this protocol, or over {http1.MAX_BODY} bytes"
--- a/anisespool/instance.py
+++ b/anisespool/instance.py
@@ -99,7 +99,7 @@
     tasks.append(loop.create_task(server.sweep()))
     try:
         if file:
-            tasks.extend(_operate(config, file, sidecar, endpoints, helm))
+            tasks.extend(_operate(config, file, sidecar, helm))
         try:
             on_listening(server.listen(config.listen))
         except OSError as error:
@@ -124,9 +124,7 @@
     return ObservedSidecar(config, endpoints)
 
 
-def _operate(
-    config: Config, file: OperatorFile, sidecar: Sidecar, endpoints: Endpoints, helm: Helm
-) -> list[asyncio.Task[None]]:
+def _operate(config: Config, file: OperatorFile, sidecar: Sidecar, helm: Helm) -> list[asyncio.Task[None]]:
     """What the operator's file asks for; without one nothing of it is even loaded."""
     from anisespool.control.desk import Desk
     from anisespool.control.observed import ObservedSidecar
@@ -134,7 +132,7 @@
     from anisespool.control.server import serve
 
     assert isinstance(sidecar, ObservedSidecar)
-    desk = Desk(config, file, sidecar, endpoints, helm)
+    desk = Desk(config, file, sidecar, helm)
     if file.control is None:
         return []
     folder = prepare(file.control.folder)
--- a/anisespool/standins/farm.py
+++ b/anisespool/standins/farm.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from anisespool.config.platform import Address
-from anisespool.standins import http1, site
+from anisespool.standins import controller, http1, site
 
 READY_S = 60.0
 
@@ -81,13 +81,7 @@
 
     async def control_state(self, name: str) -> dict[str, Any]:
         """What an instance says of itself, asked past the agent."""
-        reader, writer = await asyncio.open_unix_connection(str(self.control / f"{name}.sock"))
-        writer.write(b"GET /v1/state HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
-        try:
-            state: dict[str, Any] = json.loads((await http1.read_response(reader)).body)
-            return state
-        finally:
-            writer.close()
+        return (await controller.ask(self.control / f"{name}.sock", "/v1/state"))[1]
 
     async def close(self) -> None:
         processes = [*self.sidecars.values(), *([self.agent] if self.agent else [])]
--- a/benchmarks/burst.py
+++ b/benchmarks/burst.py
@@ -47,7 +47,11 @@
         words = [str(ENDPOINTS), str(SLOTS), str(service_ms), "1", str(slow)]
         pipe = subprocess.PIPE
         self.endpoints = subprocess.Popen(
-            [sys.executable, "-m", "benchmarks.fleet", *words], cwd=ROOT, stdin=pipe, stdout=pipe, text=True
+            [sys.executable, "-m", "anisespool.standins.serving", *words],
+            cwd=ROOT,
+            stdin=pipe,
+            stdout=pipe,
+            text=True,
         )
         assert self.endpoints.stdout
         known = json.loads(self.endpoints.stdout.readline())
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -1,126 +1,259 @@
-"""Endpoints with slots and a queue, behind a discovery, in a process of their own.
-
-`python -m benchmarks.fleet ENDPOINTS SLOTS SERVICE_MS SEED [SLOW]`: prints the member list as one JSON line,
-discovery's address in it, serves until its input ends, then prints how many requests ran and how many unsafe
-ones (trace ids that begin with "o") ran twice. SLOW is the number of endpoints that take five times as long.
-"""
+"""Many real sidecars under traffic take one change: how long, and what it costs requests; then with one stopped,
+with a drain, and with the agent killed at random moments."""
 
 from __future__ import annotations
 
 import asyncio
 import json
-import sys
-from collections import Counter, deque
-from functools import partial
-from random import Random
+import os
+import random
+import signal
+import tempfile
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
 from typing import Any
 
-REPORT_S = (0.37, 1.4)  # how long a load report is repeated before it is measured anew
-QUEUE = 400  # requests that wait at an endpoint; more are turned away, never run
-
-
-class Node:
-    """One endpoint: `slots` requests at a time, the others wait in turn."""
-
-    def __init__(self, slots: int, service_s: float, random: Random, ran: Counter[str]) -> None:
-        self.slots, self.service_s, self.random, self.ran = slots, service_s, random, ran
-        self.busy, self.waiting = 0, deque[tuple[Link, str]]()
-        self.report, self.report_until = (0, 0), 0.0
-
-    def take(self, link: Link, trace: str) -> None:
-        if len(self.waiting) >= QUEUE:
-            link.answer(b"503 Service Unavailable", b"X-Never-Ran: 1\r\n")
-        else:
-            self.waiting.append((link, trace))
-            self._start()
-
-    def _start(self) -> None:
-        while self.waiting and self.busy < self.slots:
-            link, trace = self.waiting.popleft()
-            if link.gone:
-                continue
-            self.busy += 1
-            self.ran[trace] += 1
-            asyncio.get_running_loop().call_later(self.service_s, self._done, link)
-
-    def _done(self, link: Link) -> None:
-        now = asyncio.get_running_loop().time()
-        if now >= self.report_until:
-            self.report = len(self.waiting), self.busy + len(self.waiting)  # this one is still held
-            self.report_until = now + self.random.uniform(*REPORT_S)
-        self.busy -= 1
-        queue, inflight = self.report
-        link.answer(b"200 OK", b"Endpoint-Load-Metrics: TEXT queue=%d, inflight=%d\r\n" % (queue, inflight))
-        self._start()
-
-
-class Link(asyncio.Protocol):
-    """A sidecar's connection: one request at a time."""
-
-    def __init__(self, node: Node) -> None:
-        self.node, self.data, self.gone = node, b"", False
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.gone = True
-
-    def data_received(self, data: bytes) -> None:
-        self.data += data
-        head, end, rest = self.data.partition(b"\r\n\r\n")
-        fields = dict(line.split(b": ", 1) for line in head.lower().split(b"\r\n")[1:])
-        if not end or len(rest) < int(fields.get(b"content-length", b"0")):
-            return
-        self.data = b""
-        self.node.take(self, fields[b"x-trace-id"].decode())
-
-    def answer(self, status: bytes, headers: bytes) -> None:
-        if not self.gone:
-            self.transport.write(b"HTTP/1.1 %s\r\n%sContent-Length: 2\r\n\r\nok" % (status, headers))
-
-
-async def _discover(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    """A watch that stays open, and a list that never changes."""
-    await reader.readuntil(b"\r\n\r\n")
-    writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-    try:
-        while not writer.is_closing():
-            writer.write(b"1\r\n\n\r\n")
+import grpc
+
+from anisespool.agent.v1 import agent_pb2 as pb
+from anisespool.agent.v1 import agent_pb2_grpc
+from anisespool.standins.clients import Client, Load, outcome
+from anisespool.standins.endpoint import CountingEndpoint
+from anisespool.standins.farm import Farm
+from anisespool.standins.referee import judge
+from anisespool.standins.roster import Roster
+from anisespool.standins.site import member
+from benchmarks.report import Report
+
+SIZES = (10, 50, 200)
+ENDPOINTS, RATE = 12, 2.0  # requests a second at each sidecar
+TARGET_S = 10.0
+KILLS, SEED = 30, 20261201
+AT_ONCE = 24  # processes started together
+MB = 1024
+
+
+class Rig:
+    """A farm of `size` with traffic and an agent."""
+
+    def __init__(self, folder: Path, size: int) -> None:
+        self.folder, self.size, self.load = folder, size, Load()
+        self.endpoints = [CountingEndpoint(f"push-{n}", slots=8) for n in range(ENDPOINTS)]
+        self.names = [f"edge-{n:03}" for n in range(size)]
+        self.stop_s = float("inf")
+        self.farm: Farm
+        self.changes = 0
+
+    async def start(self, roster: Roster, known: list[dict[str, Any]]) -> None:
+        self.farm = Farm(self.folder, roster.address, known)
+        gate = asyncio.Semaphore(AT_ONCE)
+
+        async def one(name: str) -> None:
+            async with gate:
+                await self.farm.start_sidecar(name, self.size)
+
+        await asyncio.gather(*(one(name) for name in self.names))
+        await self.start_agent()
+
+    async def start_agent(self) -> None:
+        (self.farm.state / "agent.sock").unlink(missing_ok=True)
+        await self.farm.start_agent()
+        while not (self.farm.state / "agent.sock").exists():
+            await asyncio.sleep(0.01)
+
+    @asynccontextmanager
+    async def stub(self) -> AsyncIterator[Any]:
+        async with grpc.aio.insecure_channel(f"unix:{self.farm.state}/agent.sock") as channel:
+            await channel.channel_ready()
+            yield agent_pb2_grpc.AgentStub(channel)
+
+    def content(self) -> str:
+        """Another one each time."""
+        self.changes += 1
+        return json.dumps({"connections": {"client_kept_s": 10.0 + self.changes / 1000}})
+
+    async def change(self, wave: int = 0) -> tuple[float, pb.Progress]:
+        """Seconds until it settled, and its last progress."""
+        async with self.stub() as stub:
+            request = pb.ApplyRequest(
+                content_json=self.content(), base_generation=-1, wave=wave, most_unreachable=-1
+            )
+            begun, last = time.monotonic(), pb.Progress()
+            async for last in stub.Apply(request):  # noqa: B007
+                pass
+            return time.monotonic() - begun, last
+
+    async def said(self, names: list[str]) -> dict[str, int]:
+        """The generation of each, by its own word and past the agent."""
+        states = await asyncio.gather(*(self.farm.control_state(name) for name in names))
+        return {state["name"]: state["generation"] for state in states}
+
+    def agent_rss_mb(self) -> float:
+        assert self.farm.agent
+        text = Path(f"/proc/{self.farm.agent.pid}/status").read_text()
+        return int(text.split("VmHWM:")[1].split()[0]) / MB
+
+    def agent_cpu_s(self) -> float:
+        assert self.farm.agent
+        fields = Path(f"/proc/{self.farm.agent.pid}/stat").read_text().rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+@asynccontextmanager
+async def rig(size: int) -> AsyncIterator[Rig]:
+    with tempfile.TemporaryDirectory() as folder:
+        made = Rig(Path(folder), size)
+        for endpoint in made.endpoints:
+            await endpoint.start()
+        known = [member(e.name, e.address) for e in made.endpoints]
+        roster = Roster(known)
+        async with roster.serve():
+            try:
+                await made.start(roster, known)
+                yield made
+            finally:
+                await made.farm.close()
+                for endpoint in made.endpoints:
+                    endpoint.kill()
+
+
+@asynccontextmanager
+async def traffic(it: Rig, begin_s: float = 1.0, end_s: float = 1.0) -> AsyncIterator[Load]:
+    """Clients at each sidecar, from a second before to a second after."""
+    load, it.load = Load(), Load()
+    it.load = load
+    over = asyncio.Event()
+
+    async def one(seed: int, name: str) -> None:
+        client = Client(it.farm.addresses[name], load, seed, name)
+        while not over.is_set():
+            await client.run(RATE, time.monotonic() + 0.5)
+
+    tasks = [asyncio.create_task(one(seed, name)) for seed, name in enumerate(it.names)]
+    await asyncio.sleep(begin_s)
+    yield load
+    await asyncio.sleep(end_s)
+    over.set()
+    await asyncio.gather(*tasks)
+
+
+async def _sizes(report: Report) -> None:
+    rows = []
+    for size in SIZES:
+        async with rig(size) as it:
+            async with traffic(it) as load:
+                took, last = await it.change()
+            idle = it.agent_cpu_s()
             await asyncio.sleep(2)
-    except (OSError, asyncio.CancelledError):
-        writer.transport.abort()
-
-
-async def serve(endpoints: int, slots: int, service_s: float, seed: int, slow: int) -> Counter[str]:
-    loop, random, ran = asyncio.get_running_loop(), Random(seed), Counter[str]()
-    members: list[dict[str, Any]] = []
-    for n in range(endpoints):
-        node = Node(slots, service_s * (5 if n < slow else 1), random, ran)
-        server = await loop.create_server(partial(Link, node), "127.0.0.1", 0, backlog=1024)
-        port = server.sockets[0].getsockname()[1]
-        members.append(
-            {
-                "id": f"e{n}",
-                "host_port": f"127.0.0.1:{port}",
-                "locality": "east",
-                "flavor": "m1",
-                "cell": 0,
-                "phase": "up",
-                "size": 1.0,
-                "up_since_ms": 0,
-            }
-        )
-    discovery = await asyncio.start_server(_discover, "127.0.0.1", 0)
-    port = discovery.sockets[0].getsockname()[1]
-    print(json.dumps({"discovery": f"127.0.0.1:{port}", "members": members}), flush=True)
-    await loop.run_in_executor(None, sys.stdin.read)
-    return ran
-
-
-if __name__ == "__main__":
-    count, width, service_ms, seed, slow = [*sys.argv[1:], "0"][:5]
-    ran = asyncio.run(serve(int(count), int(width), float(service_ms) / 1000, int(seed), int(slow)))
-    twice = sum(times > 1 for trace, times in ran.items() if trace[0] == "o")
-    print(json.dumps({"requests": len(ran), "twice": twice}))
+            idle = (it.agent_cpu_s() - idle) / 2
+            asked = len(load.asked)
+            lost = sum(outcome(one) != "served" for one in load.asked)
+            kept = all(ruling.kept for ruling in judge(load.asked, it.endpoints, [], []))
+            rows.append([str(size), f"{took:.2f}", f"{last.has} of {last.total}", str(asked), str(lost),
+                         f"{it.agent_rss_mb():.0f}", f"{100 * idle:.1f}"])  # fmt: skip
+            report.aim(f"{size} sidecars take a change in under {TARGET_S:g} s", took < TARGET_S)
+            report.aim(f"{size}: every one has it", last.has == last.total == size)
+            report.aim(f"{size}: no request refused or failed, rules kept", lost == 0 and kept)
+            if size == SIZES[-1]:
+                await _stopped(report, it)
+                await _drained(report, it)
+                await _killed(report, it)
+    report.table(
+        "One change under traffic",
+        ["sidecars", "s", "have it", "asked", "not served", "agent MB", "agent idle CPU %"],
+        rows,
+    )
+
+
+async def _stopped(report: Report, it: Rig) -> None:
+    process = it.farm.sidecars[it.names[7]]
+    process.send_signal(signal.SIGSTOP)
+    others = [name for name in it.names if name != it.names[7]]
+    async with traffic(it) as load:
+        took, last = await it.change()
+    lost = sum(outcome(one) != "served" for one in load.asked if not one.trace.startswith(it.names[7]))
+    process.send_signal(signal.SIGCONT)
+    begun = time.monotonic()
+    while (await it.said([it.names[7]]))[it.names[7]] != last.generation:
+        await asyncio.sleep(0.02)
+    back = time.monotonic() - begun
+    has = sum(generation == last.generation for generation in (await it.said(others)).values())
+    report.table(
+        "With one stopped (SIGSTOP)",
+        ["s", "others have it", "unreachable", "not served elsewhere", "s after it came back"],
+        [[f"{took:.2f}", f"{has} of {len(others)}", str(last.unreachable), str(lost), f"{back:.2f}"]],
+    )
+    report.aim("with one stopped the others converge", has == len(others) and last.unreachable == 1)
+    report.aim("the stopped one has it within 5 s of coming back", back < 5)
+    report.aim("with one stopped no request elsewhere is refused or failed", lost == 0)
+
+
+async def _drained(report: Report, it: Rig) -> None:
+    """Each sidecar's last request at the endpoint, after that sidecar had answered that it was told: at the
+    latest when the agent's call ended; and after the call began, which none can have been told before."""
+    endpoint = it.endpoints[0]
+    async with traffic(it, 2.0, 3.0) as load:
+        async with it.stub() as stub:
+            begun = time.monotonic()
+            async for last in stub.Drain(pb.DrainRequest(drain=[endpoint.name])):  # noqa: B007
+                pass
+        took = time.monotonic() - begun
+    after = [run.at_s - begun for run in endpoint.record.ran if run.at_s > begun]
+    lost = sum(outcome(one) != "served" for one in load.asked)
+    report.table(
+        f"Drain of one endpoint at {it.size}",
+        ["told", "ms to tell all", "last arrival after the call began, ms", "not served"],
+        [[f"{last.told} of {last.total}", f"{took * 1000:.0f}", f"{max(after, default=0) * 1000:.0f}", str(lost)]],
+    )
+    report.aim("nothing reaches a drained endpoint 250 ms after the drain was asked for", max(after, default=0) < 0.25)
+    async with it.stub() as stub:
+        async for last in stub.Drain(pb.DrainRequest(undrain=[endpoint.name])):  # noqa: B007
+            pass
+
+
+async def _killed(report: Report, it: Rig) -> None:
+    """A change is applied and the agent killed some time after; the next one's first report is held against what
+    each instance says right after it."""
+    chance, differences, partly, moments = random.Random(SEED), 0, 0, []
+    for _ in range(KILLS):
+        moment = chance.uniform(0.0, 0.35)
+        applying = asyncio.create_task(_ignored(it))
+        await asyncio.sleep(moment)
+        assert it.farm.agent
+        it.farm.agent.kill()
+        await it.farm.agent.wait()
+        await applying
+        had = set((await it.said(it.names)).values())
+        partly += len(had) > 1
+        await it.start_agent()
+        async with it.stub() as stub:
+            reply = await stub.Status(pb.StatusRequest())
+            told = {target.name: target.standing == "has" for target in reply.targets}
+            newest = reply.change.generation
+            said = {name: generation == newest for name, generation in (await it.said(it.names)).items()}
+            # Between the two it goes on: one that got it meanwhile is no difference, one that lost it would be.
+            differences += sum(told[name] and not said[name] for name in told) + (told.keys() != said.keys())
+            begun = time.monotonic()
+            while not all(t.standing == "has" for t in (await stub.Status(pb.StatusRequest())).targets):
+                await asyncio.sleep(0.05)
+            moments.append(time.monotonic() - begun)
+    report.table(
+        f"The agent killed at {KILLS} random moments (seed {SEED})",
+        ["found half-way", "reports that differ", "s until all have it, longest"],
+        [[str(partly), str(differences), f"{max(moments):.2f}"]],
+    )
+    report.aim("a restarted agent reports exactly what the instances say", differences == 0)
+
+
+async def _ignored(it: Rig) -> None:
+    try:
+        await it.change(wave=max(1, it.size // 8))
+    except (grpc.RpcError, TimeoutError):
+        pass
+
+
+def run(report: Report) -> None:
+    """All of it; some three minutes."""
+    asyncio.run(_sizes(report))
--- a/tests/net.py
+++ b/tests/net.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 from typing import Any
 
+from anisespool.config.operator import OperatorFile
 from anisespool.config.platform import Address, Config, load
 from anisespool.instance import Signals, run
 from anisespool.standins import http1, site
@@ -67,14 +68,16 @@
 
 
 @asynccontextmanager
-async def world(folder: Path, *endpoints: Endpoint, **changes: Any) -> AsyncIterator[World]:
+async def world(
+    folder: Path, *endpoints: Endpoint, file: OperatorFile | None = None, **changes: Any
+) -> AsyncIterator[World]:
     async with Discovery().serve() as discovery:
         known = []
         for n, endpoint in enumerate(endpoints):
             known.append(site.member(f"s-{n}", endpoint.address))
         config: Config = load(write_config(folder, discovery.address, known, **changes))
         signals, listening = Signals(), asyncio.get_running_loop().create_future()
-        task = asyncio.create_task(run(config, signals, listening.set_result))
+        task = asyncio.create_task(run(config, signals, listening.set_result, file))
         try:
             yield World(await listening, discovery, signals, task)
         finally:
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,214 @@
+"""One instance's control socket: who may ask, what is refused, and that requests never notice."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from anisespool.config import operator
+from anisespool.config.platform import ConfigError
+from anisespool.control import server
+from anisespool.control.place import Claim, TakenError, alive, prepare
+from anisespool.standins import controller, site
+from anisespool.standins.peers import Endpoint
+from tests.net import World, exchange, limited, raw_call, until, world
+
+CONNECTIONS = {"idle_per_endpoint": 1, "rest_ms": 5.0, "connect_timeout_ms": 50.0, "client_kept_s": 1.0}
+
+
+def operator_file(folder: Path, **control: Any) -> operator.OperatorFile:
+    return operator.from_raw({"control": {"folder": str(folder / "ctl")} | control}, "file")
+
+
+@asynccontextmanager
+async def controlled(
+    folder: Path, *endpoints: Endpoint, **control: Any
+) -> AsyncIterator[tuple[World, Path]]:
+    async with world(folder, *endpoints, file=operator_file(folder, **control)) as sidecar:
+        path = folder / "ctl" / "n0.sock"
+        await until(path.exists)
+        yield sidecar, path
+
+
+@limited
+async def test_it_describes_itself(tmp_path: Path) -> None:
+    async with Endpoint().serve() as one, controlled(tmp_path, one) as (sidecar, path):
+        assert (await exchange(sidecar.address, raw_call())).status == 200
+        status, told = await controller.ask(path, "/v1/describe")
+        assert (status, told["phase"], told["generation"], told["pid"]) == (200, "serving", 0, os.getpid())
+        (row,) = told["endpoints"]
+        assert (row["id"], row["state"], row["odds"], row["idle"]) == ("s-0", "ready", 1.0, 1)
+        assert told["classes"]["look"] == {"served": 1, "refused": 0, "failed": 0, "gone": 0}
+        assert path.stat().st_mode & 0o777 == 0o600 and path.parent.stat().st_mode & 0o777 == 0o700
+
+
+@limited
+async def test_a_document_is_taken_whole_once_and_in_order(tmp_path: Path) -> None:
+    async with Endpoint().serve() as a, Endpoint().serve() as b, controlled(tmp_path, a, b) as (_, path):
+        base = (await controller.ask(path, "/v1/state"))[1]["digest"]
+        body = controller.offer(4, base, {"endpoints": {"drained": ["s-0"]}, "connections": CONNECTIONS})
+        assert (await controller.ask(path, "/v1/validate", {"content": body["content"]}))[0] == 200
+        for changed in (True, False):
+            status, told = await controller.ask(path, "/v1/apply", body)
+            assert (status, told["generation"], told["changed"]) == (200, 4, changed)
+        digest = body["digest"]
+        for refused, code in (
+            (controller.offer(3, digest, {}), "older"),
+            (controller.offer(4, digest, {}), "conflict"),
+            (controller.offer(5, base, {}), "base"),
+            (controller.offer(5, digest, {}) | {"digest": digest}, "damaged"),
+            (controller.offer(5, digest, {"control": {}}), "invalid"),
+            (controller.offer(5, digest, {"members": {"nobody": {"share": 0.1}}}), "invalid"),
+            (controller.offer(5, digest, {"connections": {"rest_ms": -1}}), "invalid"),
+            (controller.offer(True, digest, {}), "invalid"),
+            (controller.offer(5, digest, {"endpoints": {"drained": ["s-0", "s-1"]}}), "last-endpoint"),
+        ):
+            status, told = await controller.ask(path, "/v1/apply", refused)
+            assert (status >= 400, told["error"]["code"]) == (True, code)
+        told = (await controller.ask(path, "/v1/describe"))[1]
+        assert (told["generation"], told["drained"]) == (4, ["s-0"])
+        assert told["file"]["connections"] == CONNECTIONS
+
+
+@limited
+async def test_what_the_operator_drains_stays_drained_whatever_discovery_says(tmp_path: Path) -> None:
+    async with Endpoint().serve() as a, Endpoint().serve() as b, controlled(tmp_path, a, b) as (it, path):
+        await until(lambda: bool(it.discovery.connections))
+        fleet = {"revision": 7, "ids": ["s-0"]}
+        assert (await controller.ask(path, "/v1/endpoints/drained", fleet))[0] == 200
+        for phase in ("up", "draining", "up"):
+            it.discovery.say(site.member_list(2, [site.member("s-0", a.address, phase)], complete=False))
+        it.discovery.say(site.member_list(3, [site.member("s-0", a.address), site.member("s-1", b.address)]))
+        for n in range(40):
+            assert (await exchange(it.address, raw_call(trace=f"t{n}"))).status == 200
+        assert (len(a.requests), len(b.requests)) == (0, 40)
+        for verb, body, code in (
+            ("drained", {"revision": 6, "ids": []}, "older"),
+            ("drained", {"revision": 7, "ids": []}, "older"),
+            ("undrain", {"id": "s-0"}, "not-here"),
+            ("drain", {"id": "s-1"}, "last-endpoint"),
+            ("drain", {"id": 5}, "invalid"),
+        ):
+            assert (await controller.ask(path, f"/v1/endpoints/{verb}", body))[1]["error"]["code"] == code
+        assert (await controller.ask(path, "/v1/endpoints/drain", {"id": "s-1", "force": True}))[0] == 200
+        assert (await exchange(it.address, b"GET /healthz HTTP/1.1\r\n\r\n")).status == 503
+        await controller.ask(path, "/v1/endpoints/undrain", {"id": "s-1"})
+        await controller.ask(path, "/v1/endpoints/drained", {"revision": 8, "ids": []})
+        for n in range(40):
+            assert (await exchange(it.address, raw_call(trace=f"u{n}"))).status == 200
+        assert a.requests and len(b.requests) > 40
+
+
+BAD = [
+    (b"\x00\x01\x02\r\n\r\n", 400, "bad-request"),
+    (b"POST /v1/apply HTTP/1.1\r\nHost: i\r\nContent-Length: 3\r\n\r\n{]}", 400, "bad-json"),
+    (b"POST /v1/apply HTTP/1.1\r\nHost: i\r\nContent-Length: 2\r\n\r\n[]", 400, "bad-json"),
+    (b"POST /v1/apply HTTP/1.1\r\nHost: i\r\nContent-Length: 10000000\r\n\r\nx", 413, "bad-request"),
+    (b"POST /v1/apply HTTP/1.1\r\nHost: i\r\nContent-Length: 9000\r\n\r\n" + b"[" * 9000, 400, "bad-json"),
+    (b"GET /v1/explode HTTP/1.1\r\nHost: i\r\n\r\n", 404, "unknown-verb"),
+    (b"DELETE /v1/state HTTP/1.1\r\nHost: i\r\n\r\n", 404, "unknown-verb"),
+]  # fmt: skip
+
+
+@limited
+async def test_bad_input_is_answered_by_name_and_costs_requests_nothing(
+    tmp_path: Path, capfd: pytest.CaptureFixture[str]
+) -> None:
+    async with Endpoint().serve() as one, controlled(tmp_path, one, silence_s=0.2) as (sidecar, path):
+        for data, status, code in BAD:
+            response = await controller.raw(path, data)
+            assert (response.status, json.loads(response.body)["error"]["code"]) == (status, code)
+        half = [await asyncio.open_unix_connection(str(path)) for _ in range(3)]
+        for _, writer in half:
+            writer.write(b"POST /v1/apply HTTP/1.1\r\nContent-Length: 50\r\n\r\n{")
+        deaf = socket.socket(socket.AF_UNIX)
+        deaf.connect(str(path))
+        deaf.send(b"GET /v1/describe HTTP/1.1\r\nHost: i\r\n\r\n" * 400)  # and never reads
+        for n in range(20):
+            assert (await exchange(sidecar.address, raw_call(trace=f"t{n}"))).status == 200
+        for reader, _ in half:
+            assert await reader.read() == b""  # cut off
+        deaf.close()
+        assert (await controller.ask(path, "/v1/state"))[0] == 200
+    assert "Traceback" not in capfd.readouterr().err
+
+
+@limited
+async def test_no_more_controllers_than_stated_and_none_of_another_user(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async with Endpoint().serve() as one, controlled(tmp_path, one, most_connections=2) as (_, path):
+        held = [await asyncio.open_unix_connection(str(path)) for _ in range(2)]
+        with pytest.raises((EOFError, OSError)):
+            await controller.ask(path, "/v1/state")
+        held[0][1].close()
+        while True:
+            try:
+                assert (await controller.ask(path, "/v1/state"))[0] == 200
+                break
+            except (EOFError, OSError):
+                await asyncio.sleep(0.005)
+        monkeypatch.setattr(server, "peer_user", lambda sock: os.geteuid() + 1)
+        with pytest.raises((EOFError, OSError)):
+            await controller.ask(path, "/v1/state")
+
+
+@limited
+async def test_drain_of_the_instance_answers_all_and_takes_the_socket_away(tmp_path: Path) -> None:
+    release = asyncio.Event()
+
+    async def held(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await release.wait()
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+    async with Endpoint(held).serve() as one, controlled(tmp_path, one) as (sidecar, path):
+        open_ = asyncio.create_task(exchange(sidecar.address, raw_call("once")))
+        await until(lambda: len(one.requests) == 1)
+        assert (await controller.ask(path, "/v1/drain", {}))[1]["phase"] == "draining"
+        assert (await controller.ask(path, "/v1/state"))[1]["phase"] == "draining"  # it still tells
+        release.set()
+        assert (await open_).status == 200
+        await sidecar.task
+        await asyncio.sleep(0)
+        assert not path.exists()
+
+
+def test_a_dead_ones_socket_is_told_from_a_live_one_and_a_name_is_held_once(tmp_path: Path) -> None:
+    folder = prepare(str(tmp_path / "c"))
+    claim = Claim(folder, "a")
+    listener = claim.listen()
+    assert alive(claim.path)
+    with pytest.raises(TakenError):
+        Claim(folder, "a")
+    os.close(claim._lock)  # as the kernel does for a killed process: the file stays
+    assert claim.path.exists() and not alive(claim.path)
+    again = Claim(folder, "a")
+    again.listen().close()
+    assert alive(claim.path)
+    again.release()
+    assert not claim.path.exists()
+    listener.close()
+
+
+@pytest.mark.parametrize(("name", "why"), [("../up", "letters"), ("", "letters"), ("x" * 65, "letters")])
+def test_a_name_that_is_no_plain_one_makes_no_socket(tmp_path: Path, name: str, why: str) -> None:
+    with pytest.raises(ConfigError, match=why):
+        Claim(prepare(str(tmp_path / "c")), name)
+
+
+def test_a_folder_that_others_can_enter_is_refused(tmp_path: Path) -> None:
+    for mode in (0o755, 0o710):
+        (tmp_path / str(mode)).mkdir(mode=mode)
+        with pytest.raises(ConfigError, match="wanted 0700"):
+            prepare(str(tmp_path / str(mode)))
+    (tmp_path / "file").write_text("")
+    with pytest.raises(ConfigError, match=r"control\.folder"):
+        prepare(str(tmp_path / "file"))
