--- a/anisespool/control/desk.py
+++ b/anisespool/control/desk.py
@@ -5,6 +5,7 @@
 import os
 import time
 from dataclasses import dataclass
+from enum import Enum
 from typing import Any
 from uuid import uuid4
 
@@ -101,7 +102,7 @@
         return {
             "listen": "{}:{}".format(*self._config.listen), "open": module.open,
             "strain": round(module.strain, 4), "clients": self._steering.clients(),
-            "endpoints": rows, "endpoints_total": len(names), "classes": classes,
+            "settings": _plain(self._config.settings), "endpoints": rows, "endpoints_total": len(names), "classes": classes,
             "file": operator.raw(self._now), "live_keys": list(operator.LIVE),
         }  # fmt: skip
 
@@ -224,6 +225,15 @@
         self._described = (-FRESH_NS, {})
 
 
+def _plain(value: Any) -> Any:
+    """Settings as JSON can carry them."""
+    if isinstance(value, Enum):
+        return value.value
+    if hasattr(value, "_asdict"):
+        return {key: _plain(item) for key, item in value._asdict().items()}
+    return [_plain(item) for item in value] if isinstance(value, list | tuple) else value
+
+
 def _offer(body: Body) -> Offer:
     generation, base, digest = _whole(body, "generation"), body.get("base"), body.get("digest")
     if not isinstance(base, str) or not isinstance(digest, str):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -44,6 +44,7 @@
         assert (await exchange(sidecar.address, raw_call())).status == 200
         status, told = await controller.ask(path, "/v1/describe")
         assert (status, told["phase"], told["generation"], told["pid"]) == (200, "serving", 0, os.getpid())
+        assert [c["effect"] for c in told["settings"]["classes"]] == ["repeatable", "by_key", "once"]
         (row,) = told["endpoints"]
         assert (row["id"], row["state"], row["odds"], row["idle"]) == ("s-0", "ready", 1.0, 1)
         assert told["classes"]["look"] == {"served": 1, "refused": 0, "failed": 0, "gone": 0}
