--- a/anisespool/control/desk.py
+++ b/anisespool/control/desk.py
@@ -102,7 +102,8 @@
         return {
             "listen": "{}:{}".format(*self._config.listen), "open": module.open,
             "strain": round(module.strain, 4), "clients": self._steering.clients(),
-            "settings": _plain(self._config.settings), "endpoints": rows, "endpoints_total": len(names), "classes": classes,
+            "settings": _plain(self._config.settings), "classes": classes,
+            "endpoints": rows, "endpoints_total": len(names),
             "file": operator.raw(self._now), "live_keys": list(operator.LIVE),
         }  # fmt: skip
 
