Begin the lab: a model of the fleet in virtual time, with scenarios and books that balance

Change: anisespool/lab with independent random streams (common random numbers), strict scenario files, an event heap, endpoints that ail in ten ways, the checker moved from the tests (raises RuleError, forgets what is over), tallies that must balance (conservation, Little's law in whole ns).

--- a/tests/checker.py
+++ b/anisespool/lab/checker.py
@@ -1,4 +1,4 @@
-"""An independent reading of the four rules and of order by key: follows events, asserts what may be sent.
+"""An independent reading of the four rules and of order by key: follows events, judges what may be sent.
 
 It shares no logic with the module: it keeps its own books from what passes by.
 """
@@ -14,6 +14,15 @@
 MAY_RUN_ON = {3, 5, 6}  # time-out, reset, cancelled
 
 
+class RuleError(AssertionError):
+    """A rule was broken; the text begins with its number."""
+
+
+def must(kept: bool, text: str) -> None:
+    if not kept:
+        raise RuleError(text)
+
+
 @dataclass
 class Copy:
     endpoint: int
@@ -37,8 +46,10 @@
 
 
 class Checker:
-    def __init__(self, settings: Settings) -> None:
-        self.settings = settings
+    """One module's. `forgetful`: keeps no more than what is open, for runs of any length."""
+
+    def __init__(self, settings: Settings, forgetful: bool = False) -> None:
+        self.settings, self._forgetful = settings, forgetful
         self.requests: dict[int, Ledger] = {}
         self.told: dict[int, api.Listed] = {}
         self.barred_since: dict[int, int] = {}
@@ -54,7 +65,9 @@
                 if key:
                     self.lines.setdefault(key, []).append(event.request)
             case api.ClientGone():
-                self.requests[event.request].answered = True
+                if event.request in self.requests:
+                    self.requests[event.request].answered = True
+                    self._forget(event.request)
             case api.Outcome():
                 ledger = self.requests[event.request]
                 copy = ledger.copies[event.attempt]
@@ -63,11 +76,17 @@
                 if int(event.status) in MAY_RUN_ON:
                     ledger.rests_until = now + self.settings.order_settle_ns
                 ledger.answered = ledger.answered or event.finished
+                self._forget(event.request)
             case api.Roster() if event.form != api.RosterForm.FAILED:
                 self._roster(now, event)
             case _:
                 pass
 
+    def _forget(self, request: int) -> None:
+        ledger = self.requests[request]
+        if self._forgetful and not ledger.key and ledger.over():
+            del self.requests[request]
+
     def _roster(self, now: int, roster: api.Roster) -> None:
         if roster.form != api.RosterForm.DELTA:
             for endpoint in set(self.told) - {row.endpoint for row in roster.entries}:
@@ -87,33 +106,37 @@
                 case api.Send():
                     self._send(now, action)
                 case api.Refuse():
-                    self._final(now, action.request)
-                    self._refusal(self.requests[action.request])
+                    self._refusal(self._final(now, action.request))
+                    self._forget(action.request)
                 case api.Fail():
                     self._final(now, action.request)
+                    self._forget(action.request)
                 case api.Cancel():
-                    assert self.settings.may_cancel, "cancel where it is not allowed"
-                    assert action.attempt < len(self.requests[action.request].copies), "unknown attempt"
+                    must(self.settings.may_cancel, "cancel where it is not allowed")
+                    known = self.requests.get(action.request)
+                    must(known is None or action.attempt < len(known.copies), "unknown attempt")
                 case api.Probe():
-                    assert self.settings.may_probe
+                    must(self.settings.may_probe, "a probe where it is not allowed")
                 case api.Tell():
-                    assert self.settings.may_message
+                    must(self.settings.may_message, "a message where it is not allowed")
                 case api.SetTimer():
-                    assert 0 <= action.delay_ns <= 71 * 60 * 10**9
+                    must(0 <= action.delay_ns <= 71 * 60 * 10**9, "a timer out of bounds")
                 case _:
                     pass
 
     def _send(self, now: int, send: api.Send) -> None:
-        ledger = self.requests[send.request]
-        assert not ledger.answered, "rule 1: a send for a request that has ended"
-        assert send.endpoint in self.ever, "an endpoint no list has named"
+        ledger = self.requests.get(send.request)
+        must(ledger is not None, "rule 1: a send for a request that has ended")
+        assert ledger
+        must(not ledger.answered, "rule 1: a send for a request that has ended")
+        must(send.endpoint in self.ever, "an endpoint no list has named")
         assert send.timeout_ns >= 0
         barred = self.barred_since.get(send.endpoint)
         grace = self.settings.drain_grace_ns
-        assert barred is None or now <= barred + grace, "rule 3: a send past the drain grace"
-        assert len(ledger.copies) < self.settings.attempts_cap, "more attempts than allowed"
+        must(barred is None or now <= barred + grace, "rule 3: a send past the drain grace")
+        must(len(ledger.copies) < self.settings.attempts_cap, "more attempts than allowed")
         if not self.settings.may_duplicate:
-            assert not any(c.open for c in ledger.copies), "two attempts outstanding"
+            must(not any(c.open for c in ledger.copies), "two attempts outstanding")
         self._effects(now, ledger, send.endpoint)
         self._order(now, send.request, ledger)
         ledger.copies.append(Copy(send.endpoint, now))
@@ -122,35 +145,38 @@
         risky = [c for c in ledger.copies if not c.unrun]
         if not risky or ledger.cls.effect is Effect.REPEATABLE:
             return
-        assert ledger.cls.effect is Effect.BY_KEY, "rule 2: an unsafe request sent again"
-        assert now <= risky[0].sent + ledger.cls.dedup_window_ns, "rule 2: past the dedup window"
+        must(ledger.cls.effect is Effect.BY_KEY, "rule 2: an unsafe request sent again")
+        must(now <= risky[0].sent + ledger.cls.dedup_window_ns, "rule 2: past the dedup window")
         here, first = self.ever[endpoint], self.ever[risky[0].endpoint]
         if ledger.cls.dedup_scope == "zone":
-            assert here.zone == first.zone, "rule 2: outside the zone that drops repeats"
+            must(here.zone == first.zone, "rule 2: outside the zone that drops repeats")
         elif ledger.cls.dedup_scope == "cell":
-            assert here.cell == first.cell, "rule 2: outside the cell that drops repeats"
+            must(here.cell == first.cell, "rule 2: outside the cell that drops repeats")
 
     def _order(self, now: int, request: int, ledger: Ledger) -> None:
         if not ledger.key:
             return
         line = self.lines[ledger.key]
         for earlier in line[: line.index(request)]:
-            assert self.requests[earlier].over(), "order: an earlier request of the key is not over"
-            assert now >= self.requests[earlier].rests_until, "order: the key's rest was cut short"
+            must(self.requests[earlier].over(), "order: an earlier request of the key is not over")
+            must(now >= self.requests[earlier].rests_until, "order: the key's rest was cut short")
 
     def _refusal(self, ledger: Ledger) -> None:
         if all(c.unrun for c in ledger.copies) or ledger.cls.effect is Effect.REPEATABLE:
             return
         by_key_all = ledger.cls.effect is Effect.BY_KEY and ledger.cls.dedup_scope == "all"
-        assert by_key_all, "rule 2: a refusal of what may have run"
-
-    def _final(self, now: int, request: int) -> None:
-        ledger = self.requests[request]
-        assert not ledger.answered, "rule 1: a second final answer"
-        assert now <= ledger.due + self.settings.answer_slack_ns, "rule 1: a late final answer"
+        must(by_key_all, "rule 2: a refusal of what may have run")
+
+    def _final(self, now: int, request: int) -> Ledger:
+        ledger = self.requests.get(request)
+        must(ledger is not None, "rule 1: a second final answer")
+        assert ledger
+        must(not ledger.answered, "rule 1: a second final answer")
+        must(now <= ledger.due + self.settings.answer_slack_ns, "rule 1: a late final answer")
         ledger.answered = True
+        return ledger
 
     def nothing_owed(self, now: int) -> None:
         for request, ledger in self.requests.items():
             late = now > ledger.due + self.settings.answer_slack_ns
-            assert ledger.answered or not late, f"rule 1: request {request} was never answered"
+            must(ledger.answered or not late, f"rule 1: request {request} was never answered")
--- /dev/null
+++ b/anisespool/lab/scenario.py
@@ -0,0 +1,268 @@
+"""Scenario files (TOML): a fleet, its traffic, its troubles. Units are in the keys' names.
+
+`include = ["a", "b"]` lays other files of the same folder beneath this one: tables are merged key by key,
+lists of `endpoints` and `classes` are replaced, `bursts` and `troubles` are added up. What the model lacks is
+refused.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta
+
+from shuntlead.interface import Settings
+
+MS, SECOND = 1_000_000, 1_000_000_000
+LIBRARY = Path(__file__).parent / "scenarios"
+MOST_INCLUDES = 8
+Positive = Annotated[float, Meta(gt=0)]
+NotNegative = Annotated[float, Meta(ge=0)]
+Share = Annotated[float, Meta(ge=0, le=1)]
+Count = Annotated[int, Meta(ge=1, le=100_000)]
+Range = tuple[float, float]
+Columns = list[Literal["queue", "inflight"]]
+
+
+class ScenarioError(ValueError):
+    """One line that names the file, the key, what was found and what was wanted."""
+
+
+class Spec(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Every table is read strictly."""
+
+
+class Endpoints(Spec, frozen=True, kw_only=True):
+    """Some endpoints that are alike."""
+
+    count: Count = 1
+    cores: Annotated[int, Meta(ge=1, le=1024)] = 3  # requests at a time
+    speed: Positive = 1.0  # work done in a second of each core
+    speed_spread: Share = 0.0  # each draws its own, this far to either side
+    waiting: Annotated[int, Meta(ge=0, le=100_000)] = 60  # more are turned away unseen
+    connections: Annotated[int, Meta(ge=1)] = 100_000  # open at a time; more can't connect
+    zone: Annotated[int, Meta(ge=0, le=31)] = 0
+    cancel: Literal["none", "queued", "all"] = "queued"  # what stops when an attempt is given up
+
+
+class Class(Spec, frozen=True, kw_only=True):
+    name: str
+    share: Positive = 1.0
+    effect: Literal["repeatable", "by_key", "once"] = "once"
+    target_ms: Positive = 400.0
+    deadline_ms: Positive = 1000.0
+    worth: Positive = 1.0
+    work_ms: Positive = 20.0
+    work: Literal["alike", "exponential", "lognormal"] = "alike"
+    cv: Positive = 1.0  # of the lognormal
+
+
+class Traffic(Spec, frozen=True, kw_only=True):
+    """First tries, open loop: whatever became of those before."""
+
+    per_s: NotNegative = 100.0  # at all sidecars together
+    arrivals: Literal["poisson", "steady"] = "poisson"
+    until_per_s: NotNegative | None = None  # a ramp to that rate at the end
+    uneven: Share = 0.0  # 0: sidecars alike; 1: the first has most
+
+
+class Burst(Spec, frozen=True, kw_only=True):
+    """Requests that come together, beside the traffic."""
+
+    at_s: NotNegative
+    count: Count  # at all sidecars together
+    over_ms: NotNegative = 0.0
+    every_s: Positive | None = None  # again and again until the end
+    cls: Annotated[int, Meta(ge=0)] = 0
+
+
+class Clients(Spec, frozen=True, kw_only=True):
+    tries: Annotated[int, Meta(ge=1, le=10)] = 1  # of a refused request, or a failed one that may be repeated
+    backoff_ms: NotNegative = 50.0  # where no time to come back was told
+    honour: Share = 1.0  # share of told times that are waited for
+    gives_up: Range = (1.0, 1.0)  # after this share of the deadline
+
+
+class Network(Spec, frozen=True, kw_only=True):
+    """One way, each message anew."""
+
+    same_ms: NotNegative = 0.3
+    cross_ms: NotNegative = 2.0
+    spread: Share = 0.0
+    handshake_trips: Annotated[int, Meta(ge=0, le=10)] = 1
+    connect_timeout_ms: Positive = 250.0
+
+
+class Reports(Spec, frozen=True, kw_only=True):
+    columns: Columns = msgspec.field(default_factory=lambda: ["queue", "inflight"])
+    every_ms: Range = (370.0, 1400.0)  # how old one grows before the next is made
+
+
+class Membership(Spec, frozen=True, kw_only=True):
+    delay_s: Range = (0.1, 0.2)  # from a change to a sidecar's list, each its own
+
+
+class Rules(Spec, frozen=True, kw_only=True):
+    drain_grace_ms: Positive = 250.0
+    cold_s: Positive = 23.0
+    start_capacity: Share = 0.15
+    fall_multiple: Positive = 3.0
+    fall_ms: Positive = 1500.0
+    attempts: Annotated[int, Meta(ge=1, le=10)] = 3
+    longest_return_ms: NotNegative = 1500.0  # 0: none is told
+
+
+class Trouble(Spec, frozen=True, kw_only=True):
+    """Something that goes wrong at a moment, for a while, with some of the endpoints."""
+
+    kind: Literal[
+        "slow", "fail", "pause", "neighbour", "kill", "vanish", "restart", "drain", "delay", "reset",
+        "traffic", "stale", "wipe", "sidecar",
+    ]  # fmt: skip
+    at_s: NotNegative
+    for_s: NotNegative = 0.0
+    endpoints: list[int] = []  # by number from 0; none named: a `part` of them, drawn from the seed
+    part: Share = 0.1
+    size: Positive = 2.0  # slow: times; fail, neighbour: share; traffic: times the rate; delay: times
+
+
+Groups = Annotated[list[Endpoints], Meta(min_length=1)]
+Classes = Annotated[list[Class], Meta(min_length=1, max_length=32)]
+
+
+class Scenario(Spec, frozen=True, kw_only=True):
+    """All of it, checked."""
+
+    asks: str = ""  # the question, in a sentence
+    include: list[str] = []
+    seconds: Positive = 30.0
+    warm_s: NotNegative = 5.0  # at the begin, not counted
+    sidecars: Count = 1
+    endpoints: Groups = msgspec.field(default_factory=lambda: [Endpoints(count=10)])
+    classes: Classes = msgspec.field(default_factory=lambda: [Class(name="send-one")])
+    traffic: Traffic = Traffic()
+    bursts: list[Burst] = []
+    clients: Clients = Clients()
+    network: Network = Network()
+    reports: Reports = Reports()
+    membership: Membership = Membership()
+    rules: Rules = Rules()
+    troubles: Annotated[list[Trouble], Meta(max_length=1000)] = []
+
+    @property
+    def size(self) -> int:
+        return sum(group.count for group in self.endpoints)
+
+    def capacity_per_s(self) -> float:
+        """Requests a second of the mean mix that the endpoints can do, with none in trouble."""
+        total = sum(c.share for c in self.classes)
+        work_s = sum(c.share * c.work_ms for c in self.classes) / total / 1000
+        return sum(g.count * g.cores * g.speed for g in self.endpoints) / work_s
+
+
+ADDED = ("bursts", "troubles")
+
+
+def load(name: str | Path) -> Scenario:
+    """A file by its path, or one of the library by its name; ScenarioError if it is wrong."""
+    path = Path(name)
+    if not path.suffix:
+        path = LIBRARY / f"{name}.toml"
+    return from_raw(_read(path, 0), str(path))
+
+
+def library() -> list[str]:
+    return sorted(path.stem for path in LIBRARY.glob("*.toml") if not path.stem.startswith("_"))
+
+
+def from_raw(raw: dict[str, Any], source: str) -> Scenario:
+    try:
+        made = msgspec.convert(raw, Scenario)
+    except msgspec.ValidationError as error:
+        text, _, place = str(error).partition(" - at `$")
+        key = place.rstrip("`").lstrip(".") or "the file"
+        raise ScenarioError(f"{source}: {key}: {text}") from None
+    _check(made, source)
+    return made
+
+
+def encode(scenario: Scenario) -> bytes:
+    """Canonical JSON, from which `decode` makes it again."""
+    return msgspec.json.encode(scenario, order="sorted")
+
+
+def decode(data: bytes) -> Scenario:
+    return msgspec.json.decode(data, type=Scenario)
+
+
+def _read(path: Path, depth: int) -> dict[str, Any]:
+    if depth > MOST_INCLUDES:
+        raise ScenarioError(f"{path}: include: found more than {MOST_INCLUDES} deep, wanted less")
+    try:
+        raw = tomllib.loads(path.read_text())
+    except OSError as error:
+        known = ", ".join(library())
+        raise ScenarioError(f"{path}: {error.strerror}; the library has {known}") from None
+    except (UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise ScenarioError(f"{path}: {error}") from None
+    names = raw.pop("include", [])
+    if not isinstance(names, list) or not all(isinstance(name, str) for name in names):
+        raise ScenarioError(f"{path}: include: found {names!r}, wanted a list of names")
+    merged: dict[str, Any] = {}
+    for name in names:
+        merged = _merge(merged, _read(path.parent / f"{name}.toml", depth + 1))
+    return _merge(merged, raw)
+
+
+def _merge(under: dict[str, Any], over: dict[str, Any]) -> dict[str, Any]:
+    made = dict(under)
+    for key, value in over.items():
+        if key in ADDED and isinstance(value, list):
+            made[key] = [*made.get(key, []), *value]
+        elif isinstance(value, dict) and isinstance(made.get(key), dict):
+            made[key] = made[key] | value
+        else:
+            made[key] = value
+    return made
+
+
+def _check(made: Scenario, source: str) -> None:
+    for n, trouble in enumerate(made.troubles):
+        wrong = [number for number in trouble.endpoints if not 0 <= number < made.size]
+        if wrong:
+            where = f"troubles[{n}].endpoints"
+            raise ScenarioError(f"{source}: {where}: found {wrong[0]}, wanted 0 to {made.size - 1}")
+        if trouble.kind in ("fail", "neighbour") and trouble.size > 1:
+            raise ScenarioError(f"{source}: troubles[{n}].size: found {trouble.size}, wanted a share up to 1")
+    for n, burst in enumerate(made.bursts):
+        if burst.cls >= len(made.classes):
+            most = len(made.classes)
+            raise ScenarioError(f"{source}: bursts[{n}].cls: found {burst.cls}, wanted below {most}")
+    for n, cls in enumerate(made.classes):
+        if cls.target_ms > cls.deadline_ms:
+            raise ScenarioError(f"{source}: classes[{n}].target_ms: found {cls.target_ms:g}, wanted at most "
+                                f"the deadline, {cls.deadline_ms:g}")  # fmt: skip
+
+
+def settings(made: Scenario, index: int = 0, zone: int = 0) -> Settings:
+    """What the platform would tell the sidecar of that number."""
+    rules = made.rules
+    return Settings.from_dict({
+        "zone": zone, "fleet-size": made.sidecars, "self-index": index, "resolution-ns": MS,
+        "allowed": {"attempts-cap": rules.attempts, "cancel": True, "may-duplicate": False,
+                    "retry-after": rules.longest_return_ms > 0,
+                    "max-retry-after-ns": int(rules.longest_return_ms * MS),
+                    "connect-timeout-ns": int(made.network.connect_timeout_ms * MS)},
+        "guarantees": {"answer-slack-ns": 20 * MS, "drain-grace-ns": int(rules.drain_grace_ms * MS),
+                       "cold-ns": int(rules.cold_s * SECOND), "start-capacity": rules.start_capacity,
+                       "fall-multiple": rules.fall_multiple, "fall-ns": int(rules.fall_ms * MS)},
+        "report": {"columns": list(made.reports.columns),
+                   "how": "piggyback" if made.reports.columns else "silent"},
+        "request-classes": [
+            {"target-ns": int(c.target_ms * MS), "deadline-ns": int(c.deadline_ms * MS), "effect": c.effect,
+             "worth": c.worth, "dedup-window-ns": int(c.deadline_ms * MS)}
+            for c in made.classes],
+    })  # fmt: skip
--- /dev/null
+++ b/anisespool/lab/tally.py
@@ -0,0 +1,131 @@
+"""What came of a run: counts by class, latencies, windows of a second; and the books that must balance."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from anisespool.lab.scenario import SECOND, Scenario
+
+OUTCOMES = ("in_time", "late", "refused", "failed", "gone")
+LONGEST_US = 3_600_000_000
+
+
+class VoidError(RuntimeError):
+    """The model's own books don't balance: the run says nothing."""
+
+
+@dataclass(slots=True)
+class Wish:
+    """One thing that a client wants, with all its tries."""
+
+    number: int
+    cls: int
+    came: int  # ns
+    work_ns: int
+    sidecar: int
+    patience: float  # share of the deadline after which a try is given up
+    honours: bool
+    tries: int = 0
+    runs: int = 0  # begun at any endpoint
+    refused: int = 0
+    told: tuple[int, int] = (0, 0)  # when it was refused last, and the wait it was told
+    outcome: str = ""
+
+
+@dataclass
+class Tally:
+    """Counts of wishes that came after the warm-up."""
+
+    scenario: Scenario
+    begin: int
+    asked: Counter[int] = field(default_factory=Counter)
+    ended: Counter[tuple[int, str]] = field(default_factory=Counter)
+    windows: dict[int, Counter[str]] = field(default_factory=dict)  # by second
+    latency: list[HdrHistogram] = field(default_factory=list)
+    attempts: int = 0
+    tries: int = 0
+    tries_ended: int = 0
+    open: int = 0
+    honest: Counter[bool] = field(default_factory=Counter)  # a next try after the told time went through
+    _area: int = 0  # integral of the open tries over time
+    _spent: int = 0  # time in the system of those that ended
+    _at: int = 0
+
+    def __post_init__(self) -> None:
+        self.latency = [HdrHistogram(1, LONGEST_US, 3) for _ in self.scenario.classes]
+
+    def opened(self, now: int) -> None:
+        self._move(now)
+        self.open, self.tries = self.open + 1, self.tries + 1
+
+    def closed(self, now: int, came: int) -> None:
+        self._move(now)
+        self.open, self.tries_ended = self.open - 1, self.tries_ended + 1
+        self._spent += now - came
+
+    def _move(self, now: int) -> None:
+        self._area += self.open * (now - self._at)
+        self._at = now
+
+    def wished(self, wish: Wish) -> None:
+        if wish.came >= self.begin:
+            self.asked[wish.cls] += 1
+
+    def end(self, wish: Wish, now: int, outcome: str) -> None:
+        """The last that becomes of a wish."""
+        if wish.outcome:
+            return
+        if outcome == "served":
+            target = self.scenario.classes[wish.cls].target_ms * 1e6
+            outcome = "in_time" if now - wish.came <= target else "late"
+        wish.outcome = outcome
+        if wish.came < self.begin:
+            return
+        self.ended[wish.cls, outcome] += 1
+        window = self.windows.setdefault((wish.came - self.begin) // SECOND, Counter())
+        window[outcome] += 1
+        if outcome in ("in_time", "late"):
+            self.latency[wish.cls].record_value(max(1, (now - wish.came) // 1000))
+
+    def balance(self, now: int) -> None:
+        """Conservation, and Little's law by two books: what was open over time, and how long each was."""
+        self._move(now)
+        if self.open or self.tries != self.tries_ended:
+            raise VoidError(f"{self.tries} tries came, {self.tries_ended} ended, {self.open} open")
+        if self._area != self._spent:
+            raise VoidError(f"Little's law: {self._area} ns open, {self._spent} ns spent")
+        asked, ended = sum(self.asked.values()), sum(self.ended.values())
+        if asked != ended:
+            raise VoidError(f"{asked} wishes came, {ended} ended")
+
+    def service(self) -> float:
+        """Worth answered in time over worth asked for."""
+        worth = [c.worth for c in self.scenario.classes]
+        asked = sum(worth[cls] * n for cls, n in self.asked.items())
+        good = sum(worth[cls] * n for (cls, outcome), n in self.ended.items() if outcome == "in_time")
+        return good / asked if asked else 1.0
+
+    def share(self, outcome: str) -> float:
+        asked = sum(self.asked.values())
+        return sum(n for (_, found), n in self.ended.items() if found == outcome) / asked if asked else 0.0
+
+    def quantile_ms(self, quantile: float) -> float:
+        """Over all classes."""
+        whole = HdrHistogram(1, LONGEST_US, 3)
+        for histogram in self.latency:
+            whole.add(histogram)
+        return float(whole.get_value_at_percentile(100 * quantile)) / 1000 if whole.get_total_count() else 0.0
+
+    def figures(self) -> dict[str, Any]:
+        asked = sum(self.asked.values())
+        return {
+            "service": self.service(), "asked": asked,
+            **{outcome: self.share(outcome) for outcome in OUTCOMES},
+            "p50_ms": self.quantile_ms(0.5), "p99_ms": self.quantile_ms(0.99),
+            "attempts": self.attempts / max(1, asked), "tries": self.tries / max(1, asked),
+            "honest": self.honest[True] / max(1, sum(self.honest.values())),
+        }  # fmt: skip
--- /dev/null
+++ b/anisespool/lab/troubles.py
@@ -0,0 +1,119 @@
+"""What goes wrong in a scenario, when, and for how long."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from anisespool.lab.endpoint import Endpoint
+from anisespool.lab.scenario import SECOND, Trouble
+from anisespool.lab.streams import Draws
+from anisespool.lab.world import World
+from shuntlead.interface import EndpointState
+
+
+def schedule(world: World, draws: Draws) -> None:
+    """Every trouble of the scenario at its moment."""
+    for trouble in world.scenario.troubles:
+        at = world.begin + int(trouble.at_s * SECOND)
+        over = at + int(trouble.for_s * SECOND)
+        if trouble.kind in ("traffic", "stale", "wipe", "sidecar"):
+            world.clock.at(at, _of_all, world, trouble, True)
+            world.clock.at(over, _of_all, world, trouble, False)
+            continue
+        for endpoint in _hit(world, trouble, draws):
+            world.clock.at(at, _log_and, world, trouble, endpoint, True)
+            world.clock.at(over, _log_and, world, trouble, endpoint, False)
+
+
+def _hit(world: World, trouble: Trouble, draws: Draws) -> list[Endpoint]:
+    if trouble.endpoints:
+        return [world.endpoints[number] for number in trouble.endpoints]
+    count = max(1, round(trouble.part * len(world.endpoints))) if trouble.part else 0
+    order = sorted(world.endpoints, key=lambda endpoint: (draws.uniform(), endpoint.id))
+    return order[:count]
+
+
+def _of_all(world: World, trouble: Trouble, begins: bool) -> None:
+    world.log("trouble", trouble.kind, begins)
+    if trouble.kind == "traffic":
+        world.rate = trouble.size if begins else 1.0
+    elif trouble.kind == "stale":
+        world.lag = trouble.size if begins else 1.0
+    elif trouble.kind == "wipe":
+        world.tell_all(rows=not begins)
+    elif begins:
+        world.restart_sidecar(world.sidecars[int(trouble.part * (len(world.sidecars) - 1))])
+
+
+def _log_and(world: World, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
+    world.log("trouble", trouble.kind, endpoint.id, begins)
+    KINDS[trouble.kind](world, trouble, endpoint, begins)
+
+
+def _slow(world: World, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
+    endpoint.ails.slow = trouble.size if begins else 1.0
+
+
+def _fail(world: World, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
+    endpoint.ails.fails = trouble.size if begins else 0.0
+
+
+def _neighbour(world: World, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
+    endpoint.ails.taken = min(trouble.size, 0.99) if begins else 0.0
+
+
+def _delay(world: World, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
+    endpoint.ails.delay = trouble.size if begins else 1.0
+
+
+def _pause(world: World, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
+    if begins:
+        endpoint.ails.paused_until = world.clock.now + int(trouble.for_s * SECOND)
+
+
+def _reset(world: World, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
+    if begins:
+        world.lose(endpoint)
+
+
+def _kill(world: World, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
+    """Its process dies, and another begins after `for_s`."""
+    if begins:
+        endpoint.ails.dead = True
+        world.lose(endpoint)
+        world.tell(endpoint, EndpointState.GONE)
+    else:
+        _begin_again(world, endpoint)
+
+
+def _vanish(world: World, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
+    """Its machine says nothing; when it is back, all that was open is reset."""
+    if begins:
+        endpoint.ails.vanished = True
+    else:
+        world.lose(endpoint)
+        _begin_again(world, endpoint)
+
+
+def _restart(world: World, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
+    """In order: it drains for `for_s`, and another process takes its place."""
+    if begins:
+        world.tell(endpoint, EndpointState.DRAINING)
+    else:
+        world.lose(endpoint)
+        _begin_again(world, endpoint)
+
+
+def _drain(world: World, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
+    world.tell(endpoint, EndpointState.DRAINING if begins else EndpointState.READY)
+
+
+def _begin_again(world: World, endpoint: Endpoint) -> None:
+    endpoint.restart(world.clock.now)
+    world.tell(endpoint, EndpointState.READY)
+
+
+KINDS: dict[str, Callable[[World, Trouble, Endpoint, bool], None]] = {
+    "slow": _slow, "fail": _fail, "neighbour": _neighbour, "delay": _delay, "pause": _pause, "reset": _reset,
+    "kill": _kill, "vanish": _vanish, "restart": _restart, "drain": _drain,
+}  # fmt: skip
--- /dev/null
+++ b/anisespool/lab/world.py
@@ -0,0 +1,446 @@
+"""The model of a fleet in virtual time. The sidecars are the real decision module, never a copy.
+
+What it models and how coarsely: the table in docs/lab.md.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable, Iterator
+from itertools import accumulate
+from math import exp, log, sqrt
+from typing import Any
+
+from anisespool.lab.checker import Checker, RuleError, must
+from anisespool.lab.clock import Clock
+from anisespool.lab.endpoint import Endpoint, Job
+from anisespool.lab.scenario import MS, SECOND, Burst, Scenario, settings
+from anisespool.lab.streams import Streams
+from anisespool.lab.tally import Tally, Wish
+from shuntlead import Balancer
+from shuntlead import interface as api
+from shuntlead.interface import EndpointState, RosterForm, Settings, Status
+
+BEGIN = 100 * SECOND  # virtual time at the start: no time is 0
+SLACK_NS = 20 * MS  # of a final answer past its deadline
+Module = Callable[[Settings, int, "World"], Any]
+
+
+def ours(settings: Settings, seed: int, world: World) -> Any:
+    """The real module."""
+    return Balancer(settings, seed)
+
+
+class Sidecar:
+    """One module with its books."""
+
+    def __init__(self, number: int, zone: int, settings: Settings) -> None:
+        self.number, self.zone, self.settings = number, zone, settings
+        self.module: Any = None
+        self.checker = Checker(settings, forgetful=True)
+        self.idle: dict[int, int] = {}  # open connections at rest, by endpoint
+        self.life = 0
+
+
+class World:
+    """One run. `broken` holds the first rule that was broken; the run ends there."""
+
+    def __init__(self, scenario: Scenario, seed: int, module: Module = ours, logged: bool = False) -> None:
+        self.scenario, self.seed, self.clock, self._make = scenario, seed, Clock(BEGIN), module
+        self.broken = ""
+        self._log = hashlib.blake2b(digest_size=16) if logged else None
+        streams = self._streams = Streams(seed)
+        self._net, self._arrive, self._clients, self._reports = (
+            streams.named(name) for name in ("network", "arrivals", "clients", "reports")
+        )
+        self._fails, self._news = streams.named("failures"), streams.named("membership")
+        self.begin = BEGIN + int(scenario.warm_s * SECOND)
+        self.end = self.begin + int(scenario.seconds * SECOND)
+        self.tally = Tally(scenario, self.begin)
+        self.endpoints = list(self._build(streams))
+        zones = sorted({e.spec.zone for e in self.endpoints})
+        self.open: dict[tuple[int, int], tuple[Wish, int, int]] = {}  # (sidecar, request): due, came
+        self.jobs: dict[tuple[int, int, int], Job] = {}
+        self.rate = 1.0  # of the traffic, in a trouble
+        self.lag = 1.0  # of membership's news
+        self._requests = self._wishes = self._revision = 0
+        self.sidecars = [
+            Sidecar(n, zones[n % len(zones)], settings(scenario, n, zones[n % len(zones)]))
+            for n in range(scenario.sidecars)
+        ]
+        self._who = _shares([1 - scenario.traffic.uneven * n / max(1, scenario.sidecars)
+                             for n in range(scenario.sidecars)])  # fmt: skip
+        self._kinds = _shares([c.share for c in scenario.classes])
+
+    def _build(self, streams: Streams) -> Iterator[Endpoint]:
+        number, draws = 0, streams.named("endpoints")
+        for spec in self.scenario.endpoints:
+            for _ in range(spec.count):
+                number += 1
+                speed = spec.speed * draws.uniform(1 - spec.speed_spread, 1 + spec.speed_spread)
+                yield Endpoint(number, spec, self.scenario.rules, speed)
+
+    # The run --------------------------------------------------------------------------------------
+
+    def run(self) -> Tally:
+        """Until all that was asked has ended. A broken rule ends it at once, and stands in `broken`."""
+        from anisespool.lab.troubles import schedule
+
+        try:
+            for sidecar in self.sidecars:
+                self._begin(sidecar)
+            schedule(self, self._streams.named("troubles"))
+            self.clock.at(BEGIN, self._next_arrival)
+            for burst in self.scenario.bursts:
+                self.clock.at(self.begin + int(burst.at_s * SECOND), self._burst, burst)
+            self.clock.run(self.end)
+            longest = max(c.deadline_ms for c in self.scenario.classes) * self.scenario.clients.tries
+            self.clock.run(self.end + int(2 * longest * MS) + 10 * SECOND)
+            for sidecar in self.sidecars:
+                sidecar.checker.nothing_owed(self.clock.now)
+            self.tally.balance(self.clock.now)
+        except RuleError as error:
+            self.broken = str(error)
+        return self.tally
+
+    def _begin(self, sidecar: Sidecar) -> None:
+        sidecar.checker = Checker(sidecar.settings, forgetful=True)
+        seed = self.seed * 1_000_003 + sidecar.number * 101 + sidecar.life
+        sidecar.module = self._make(sidecar.settings, seed, self)
+        sidecar.idle, sidecar.life = {}, sidecar.life + 1
+        rows = tuple(self._row(e) for e in self.endpoints)
+        self.handle(sidecar, api.Roster(1, RosterForm.CACHED, rows))
+
+    def log(self, *words: object) -> None:
+        """A line of the run's own log; its digest tells two runs apart."""
+        if self._log:
+            self._log.update(" ".join(map(str, (self.clock.now, *words, "\n"))).encode())
+
+    @property
+    def digest(self) -> str:
+        return self._log.hexdigest() if self._log else ""
+
+    # Clients --------------------------------------------------------------------------------------
+
+    def _next_arrival(self) -> None:
+        """Open loop: the next comes when it is due, whatever became of those before."""
+        traffic, now = self.scenario.traffic, self.clock.now
+        rate = traffic.per_s
+        if traffic.until_per_s is not None:
+            part = (now - self.begin) / (self.end - self.begin)
+            rate += (traffic.until_per_s - rate) * min(1.0, max(0.0, part))
+        rate *= self.rate
+        if now > BEGIN and now < self.end:
+            self._wish(self._arrive.pick(self._kinds))
+        if now >= self.end:
+            return
+        if rate <= 0:
+            self.clock.after(SECOND // 10, self._next_arrival)
+            return
+        gap = self._arrive.exponential() if traffic.arrivals == "poisson" else 1.0
+        self.clock.after(max(1, int(gap / rate * SECOND)), self._next_arrival)
+
+    def _burst(self, burst: Burst) -> None:
+        for _ in range(burst.count):
+            delay = int(self._arrive.uniform() * burst.over_ms * MS)
+            self.clock.after(delay, self._wish, burst.cls)
+        if burst.every_s and self.clock.now + burst.every_s * SECOND < self.end:
+            self.clock.after(int(burst.every_s * SECOND), self._burst, burst)
+
+    def _wish(self, cls: int) -> None:
+        spec, clients = self.scenario.classes[cls], self.scenario.clients
+        work = spec.work_ms * MS
+        if spec.work == "exponential":
+            work *= self._arrive.exponential()
+        elif spec.work == "lognormal":
+            sigma2 = log(1 + spec.cv * spec.cv)
+            work *= exp(self._arrive.normal() * sqrt(sigma2) - sigma2 / 2)
+        self._wishes += 1
+        sidecar = self._arrive.pick(self._who)
+        patience = self._arrive.uniform(*clients.gives_up)
+        honours = self._arrive.uniform() < clients.honour
+        wish = Wish(self._wishes, cls, self.clock.now, max(1, int(work)), sidecar, patience, honours)
+        self.tally.wished(wish)
+        self._ask(wish)
+
+    def _ask(self, wish: Wish) -> None:
+        wish.tries += 1
+        self._requests += 1
+        now, request, sidecar = self.clock.now, self._requests, self.sidecars[wish.sidecar]
+        left = int(self.scenario.classes[wish.cls].deadline_ms * MS * wish.patience)
+        key = (wish.sidecar, request)
+        self.open[key] = wish, now + left, now
+        self.tally.opened(now)
+        self.log("ask", wish.number, wish.sidecar, wish.cls, wish.work_ns)
+        self.clock.at(now + left + SLACK_NS, self._due, key)
+        self.handle(sidecar, api.Request(request, wish.cls, left, is_retry=wish.tries > 1))
+
+    def _due(self, key: tuple[int, int]) -> None:
+        must(key not in self.open, f"rule 1: request {key[1]} of sidecar {key[0]} was not answered in time")
+
+    def _close(self, key: tuple[int, int]) -> Wish:
+        wish, _, came = self.open.pop(key)
+        self.tally.closed(self.clock.now, came)
+        return wish
+
+    def _refused(self, wish: Wish, wait: int) -> None:
+        """Trying again is harmless: rule 2 says that it can't have run."""
+        now, unsafe = self.clock.now, self.scenario.classes[wish.cls].effect == "once"
+        must(not (unsafe and wish.runs), f"rule 2: wish {wish.number} was refused, and had run")
+        wish.refused += 1
+        if wish.told[1]:
+            self.tally.honest[False] += 1
+        wish.told = (now, wait)
+        clients = self.scenario.clients
+        if wish.tries >= clients.tries:
+            self.tally.end(wish, now, "refused")
+            return
+        pause = wait if wait and wish.honours else int(clients.backoff_ms * MS)
+        self.clock.after(max(pause, MS), self._ask, wish)
+
+    def _failed(self, wish: Wish) -> None:
+        again = self.scenario.classes[wish.cls].effect == "repeatable"
+        if again and wish.tries < self.scenario.clients.tries:
+            self.clock.after(max(int(self.scenario.clients.backoff_ms * MS), MS), self._ask, wish)
+        else:
+            self.tally.end(wish, self.clock.now, "failed")
+
+    # Modules --------------------------------------------------------------------------------------
+
+    def handle(self, sidecar: Sidecar, event: api.Event) -> None:
+        now = self.clock.now
+        sidecar.checker.event(now, event)
+        actions = sidecar.module.handle(now, event)
+        sidecar.checker.actions(now, actions)
+        for action in actions:
+            kind = type(action)
+            if kind is api.Send:
+                self._send(sidecar, action)
+            elif kind is api.SetTimer:
+                token = action.token
+                self.clock.after(action.delay_ns, self._timer, sidecar, sidecar.life, token)
+            elif kind is api.Refuse or kind is api.Fail:
+                self._final(sidecar, action)
+            elif kind is api.Cancel:
+                job = self.jobs.get((sidecar.number, action.request, action.attempt))
+                if job:
+                    self._give_up(job, Status.CANCELLED)
+
+    def _timer(self, sidecar: Sidecar, life: int, token: int) -> None:
+        if sidecar.life == life:
+            self.handle(sidecar, api.Timer(token))
+
+    def _final(self, sidecar: Sidecar, action: api.Refuse | api.Fail) -> None:
+        key = (sidecar.number, action.request)
+        must(key in self.open, "rule 1: a final answer to what is over")
+        wish = self._close(key)
+        refused = isinstance(action, api.Refuse)
+        self.log("refuse" if refused else "fail", wish.number)
+        if isinstance(action, api.Refuse):
+            self._refused(wish, action.retry_after_ns)
+        else:
+            self._failed(wish)
+
+    def _send(self, sidecar: Sidecar, send: api.Send) -> None:
+        now, key = self.clock.now, (sidecar.number, send.request)
+        must(key in self.open, "rule 1: a send for a request that has ended")
+        wish, due, _ = self.open[key]
+        number = len(sidecar.checker.requests[send.request].copies) - 1
+        endpoint = self.endpoints[send.endpoint - 1]
+        job = Job(sidecar.number, send.request, number, send.endpoint, now, wish.work_ns, wish, endpoint.life)
+        self.jobs[sidecar.number, send.request, number] = job
+        self.tally.attempts += 1
+        self.log("send", wish.number, send.endpoint)
+        until = min(now + send.timeout_ns, due) if send.timeout_ns else due
+        self.clock.at(until, self._give_up, job, Status.TIMEOUT)
+        self._connect(sidecar, endpoint, job)
+
+    def hop(self, sidecar: Sidecar, endpoint: Endpoint) -> int:
+        """One way between the two, this time."""
+        net = self.scenario.network
+        mean = net.same_ms if sidecar.zone == endpoint.spec.zone else net.cross_ms
+        spread = self._net.uniform(1 - net.spread, 1 + net.spread) if net.spread else 1.0
+        return int(mean * MS * spread * endpoint.ails.delay)
+
+    def _connect(self, sidecar: Sidecar, endpoint: Endpoint, job: Job) -> None:
+        hop, ails = self.hop(sidecar, endpoint), endpoint.ails
+        idle = sidecar.idle.get(endpoint.id, 0)
+        if idle:
+            sidecar.idle[endpoint.id] = idle - 1
+            job.connected = True
+            self.clock.after(hop, self._arrived, job)
+            return
+        job.fresh = True
+        if ails.vanished or endpoint.fallen:
+            timeout = int(self.scenario.network.connect_timeout_ms * MS)
+            self.clock.after(timeout, self._over, job, Status.CONNECT_FAILED)
+        elif ails.dead or endpoint.connections >= endpoint.spec.connections:
+            self.clock.after(2 * hop, self._over, job, Status.CONNECT_FAILED)
+        else:
+            endpoint.connections += 1
+            trips = 2 * self.scenario.network.handshake_trips * hop
+            self.clock.after(trips, self._connected, sidecar, endpoint, job)
+
+    def _connected(self, sidecar: Sidecar, endpoint: Endpoint, job: Job) -> None:
+        if job.over or endpoint.life != job.life:  # given up meanwhile: the connection is there for the next
+            if endpoint.life == job.life:
+                sidecar.idle[endpoint.id] = sidecar.idle.get(endpoint.id, 0) + 1
+            else:
+                self._over(job, Status.CONNECT_FAILED)
+            return
+        job.connected = True
+        self.clock.after(self.hop(sidecar, endpoint), self._arrived, job)
+
+    def _give_up(self, job: Job, status: Status) -> None:
+        """The sidecar stops waiting. What never had a connection has surely not run."""
+        if job.over:
+            return
+        sidecar, endpoint = self.sidecars[job.sidecar], self.endpoints[job.endpoint - 1]
+        if job.connected:
+            self.clock.after(self.hop(sidecar, endpoint), self._stop, job)
+        elif status is Status.TIMEOUT:
+            status = Status.CONNECT_FAILED
+        self._over(job, status)
+
+    def _stop(self, job: Job) -> None:
+        """The end of its connection has reached the endpoint."""
+        endpoint = self.endpoints[job.endpoint - 1]
+        if endpoint.life != job.life or job.stopped:
+            return
+        endpoint.connections -= 1
+        if endpoint.spec.cancel == "none":
+            return
+        if not job.running:
+            job.stopped = True
+        elif endpoint.spec.cancel == "all":
+            job.stopped, job.running = True, False
+            endpoint.busy -= 1
+            self._start(endpoint)
+
+    def _over(self, job: Job, status: Status, load: tuple[float, ...] = ()) -> None:
+        """The attempt ends for its module, once."""
+        if job.over:
+            return
+        job.over = True
+        del self.jobs[job.sidecar, job.request, job.number]
+        sidecar, key = self.sidecars[job.sidecar], (job.sidecar, job.request)
+        self.log("end", job.wish.number, job.endpoint, status.value)
+        if status is Status.OK and key in self.open:
+            wish = self._close(key)
+            if wish.told[1]:
+                self.tally.honest[True] += 1
+            self.tally.end(wish, self.clock.now, "served")
+        finished = key not in self.open
+        took = self.clock.now - job.sent_at
+        self.handle(sidecar, api.Outcome(job.request, job.endpoint, job.number, took, status, finished, load))
+
+    # Endpoints ------------------------------------------------------------------------------------
+
+    def _arrived(self, job: Job) -> None:
+        endpoint, now = self.endpoints[job.endpoint - 1], self.clock.now
+        if endpoint.life != job.life or endpoint.ails.dead:
+            return  # whoever held it was told by a reset
+        endpoint.weigh(now, job.work_ns)
+        if endpoint.fallen:
+            must(False, f"rule 4: endpoint {endpoint.id} was pushed over while it was cold")
+        if endpoint.ails.vanished:
+            return
+        if endpoint.ails.fails and self._fails.uniform() < endpoint.ails.fails:
+            job.wish.runs += 1
+            self._reply(endpoint, job, Status.ERROR)
+            return
+        if status := endpoint.take(job):
+            self._reply(endpoint, job, status)
+            return
+        self._start(endpoint)
+
+    def _start(self, endpoint: Endpoint) -> None:
+        now = self.clock.now
+        while job := endpoint.next():
+            wish = job.wish
+            wish.runs += 1
+            unsafe = self.scenario.classes[wish.cls].effect == "once"
+            must(not unsafe or wish.runs == 1, f"rule 2: wish {wish.number} ran twice")
+            took = int(job.work_ns / endpoint.able(now))
+            endpoint.borne_ns += took
+            self.clock.after(max(1, took), self._finish, endpoint, job)
+
+    def _finish(self, endpoint: Endpoint, job: Job) -> None:
+        if endpoint.life != job.life or job.stopped:
+            return
+        now = self.clock.now
+        if now < endpoint.ails.paused_until:
+            self.clock.at(endpoint.ails.paused_until, self._finish, endpoint, job)
+            return
+        job.running, job.stopped = False, True
+        self._reply(endpoint, job, Status.OK)  # still held while its answer, with the report, is made
+        endpoint.busy -= 1
+        self._start(endpoint)
+
+    def _reply(self, endpoint: Endpoint, job: Job, status: Status) -> None:
+        if endpoint.ails.vanished:
+            return
+        every = self.scenario.reports.every_ms
+        until = self.clock.now + int(self._reports.uniform(*every) * MS)
+        load = endpoint.report(self.clock.now, tuple(self.scenario.reports.columns), until)
+        sidecar = self.sidecars[job.sidecar]
+        self.clock.after(self.hop(sidecar, endpoint), self._answered, endpoint, job, status, load)
+
+    def _answered(self, endpoint: Endpoint, job: Job, status: Status, load: tuple[float, ...]) -> None:
+        if not job.over and endpoint.life == job.life:
+            sidecar = self.sidecars[job.sidecar]
+            sidecar.idle[endpoint.id] = sidecar.idle.get(endpoint.id, 0) + 1
+        self._over(job, status, load)
+
+    # Membership -----------------------------------------------------------------------------------
+
+    def _row(self, e: Endpoint, state: EndpointState = EndpointState.READY) -> api.Listed:
+        return api.Listed(e.id, 1.0, 0, 0, e.spec.zone, state, e.started)
+
+    def tell(self, endpoint: Endpoint, state: EndpointState) -> None:
+        """A change reaches every sidecar in its own time."""
+        self._revision += 1
+        event = api.Roster(1 + self._revision, RosterForm.DELTA, (self._row(endpoint, state),))
+        for sidecar in self.sidecars:
+            low, high = self.scenario.membership.delay_s
+            delay = int(self._news.uniform(low, high) * self.lag * SECOND)
+            self.clock.after(delay, self._told, sidecar, sidecar.life, event)
+
+    def tell_all(self, rows: bool) -> None:
+        """The whole list, or (a registry that was wiped) an empty one."""
+        self._revision += 1
+        listed = tuple(self._row(e) for e in self.endpoints) if rows else ()
+        for sidecar in self.sidecars:
+            self._told(sidecar, sidecar.life, api.Roster(1 + self._revision, RosterForm.FULL, listed))
+
+    def _told(self, sidecar: Sidecar, life: int, event: api.Roster) -> None:
+        if sidecar.life == life:
+            if event.form is RosterForm.DELTA:
+                for row in event.entries:  # a new process: connections to the old one are gone
+                    if row.state != EndpointState.READY or row.started_ns:
+                        sidecar.idle.pop(row.endpoint, None)
+            self.handle(sidecar, event)
+
+    def lose(self, endpoint: Endpoint, drop_connections: bool = True) -> None:
+        """Its connections are reset: what was sent on them may have run."""
+        for job in [job for job in self.jobs.values() if job.endpoint == endpoint.id]:
+            sidecar = self.sidecars[job.sidecar]
+            status = Status.RESET if job.connected else Status.CONNECT_FAILED
+            self.clock.after(self.hop(sidecar, endpoint), self._over, job, status)
+        if drop_connections:
+            for sidecar in self.sidecars:
+                sidecar.idle.pop(endpoint.id, None)
+
+    def restart_sidecar(self, sidecar: Sidecar) -> None:
+        """It is killed, and begins anew with the list as it is; what it held is for clients to repeat."""
+        for job in [job for job in self.jobs.values() if job.sidecar == sidecar.number]:
+            job.over = True
+            del self.jobs[job.sidecar, job.request, job.number]
+        for key in [key for key in self.open if key[0] == sidecar.number]:
+            self._failed(self._close(key))
+        self._begin(sidecar)
+
+
+def _shares(weights: list[float]) -> list[float]:
+    total = sum(weights)
+    return list(accumulate(weight / total for weight in weights))
--- a/tests/deterministic.py
+++ b/tests/deterministic.py
@@ -15,10 +15,10 @@
 from random import Random
 from typing import Any
 
+from anisespool.lab.checker import Checker
 from shuntlead import Balancer
 from shuntlead import interface as api
 from shuntlead.interface import Settings, Status
-from tests.checker import Checker
 from tests.support import MS, SECOND
 
 HOP_NS = 300_000  # one way, between any two
