--- a/shuntlead/admission.py
+++ b/shuntlead/admission.py
@@ -34,6 +34,9 @@
 UNHEARD = 32  # with nothing heard yet, the tightest target through this stands for an answer's time
 LOOKS, CLOSE_LOOKS = 64, 1024  # at what is open, in the tightest target, at most
 TWO = 0.693  # ln 2: a steady rate reads as itself
+NO_WAIT = 1.3  # times what one sent alone takes: it did not wait
+ALONE_ALPHA, ALONE_BACK = 0.3, 0.1  # a shorter answer counts for more: it surely waited for nobody
+SHOWN_ALPHA = 0.5
 RETURN_JITTER = 0.1  # of a time to come back
 MILD, SEVERE = 0.5, 0.8  # shares refused of late below and above which a next try does and doesn't go through
 RETURN_PART = 0.25  # of the tightest target: those refused together are spread over so much
@@ -54,6 +57,25 @@
         self.value = self.read(now) + amount * TWO / self.half_ns
 
 
+class SideBySide:
+    """What answers show of how many requests an endpoint does at a time: one that takes no longer than those
+    sent alone did not wait for the others there."""
+
+    def __init__(self, classes: int) -> None:
+        self.alone_ns = [0.0] * classes  # of requests sent to an endpoint with none of ours; 0: none yet
+
+    def by_side(self, cls: int, took: int, beside: int, shown: float) -> float:
+        """As many as are shown, after an answer to one sent with `beside` open there, itself among them."""
+        alone = self.alone_ns[cls]
+        if beside == 1:
+            # Danger: others' requests wait there too, and in an overload every answer would be a usual one.
+            alpha = ALONE_ALPHA if took < alone else ALONE_BACK
+            self.alone_ns[cls] = alone + alpha * (took - alone) if alone else float(took)
+        elif took <= NO_WAIT * alone and beside > shown:
+            return shown + SHOWN_ALPHA * (beside - shown)  # it may have been a short one that waited
+        return shown
+
+
 class Fleet(NamedTuple):
     """What a look at the endpoints shows."""
 
--- a/shuntlead/logic.py
+++ b/shuntlead/logic.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from shuntlead import interface as api
-from shuntlead.admission import STEP, STRAIN_ALPHA, Admission, Fleet, Open, Rate, look_open
+from shuntlead.admission import STEP, STRAIN_ALPHA, Admission, Fleet, Open, Rate, SideBySide, look_open
 from shuntlead.interface import NEVER_RAN, Effect, EndpointState, RosterForm, Status
 
 ALPHA = 0.3  # weight of a new response time: the paper finds one sample enough, so a short memory
@@ -32,8 +32,7 @@
 AMPLE = 3.0  # usual times that must then be left: a further attempt with less is no better than waiting on
 SHARE_SLACK = 1.5  # usage differs by that much from its share anyhow
 SHORT_QUEUE = 0.5, 12.0  # in a report, tells how many are served beside it
-MOST_CORES = 64.0
-CORES_ALPHA = 0.3
+MOST_CORES, CORES_ALPHA = 64.0, 0.3
 MAX_VOTES = 100  # lead of a majority that tells the usual length of a client's try
 HOLD_TRIES = 20  # a request with no eligible endpoint looks again this often within its target
 MAX_TIMER_NS = 3_600_000_000_000  # an hour: longer waits are never meant, and the wire bounds them
@@ -41,13 +40,14 @@
 
 class Endpoint:
     __slots__ = ("row", "id", "zone", "kind", "weight", "ready", "out", "slow", "slow_at", "by_class",
-                 "queue", "queue_at", "since", "warm_at", "ramp", "cores")  # fmt: skip
+                 "queue", "queue_at", "since", "warm_at", "ramp", "cores", "shown")  # fmt: skip
 
     def __init__(self, row: api.Listed, settings: api.Settings) -> None:
         self.out: dict[tuple[int, int], Attempt] = {}  # by request and number
         self.slow = 1.0  # x_i: response times over what their requests usually take
         self.by_class: dict[int, tuple[float, int]] = {}  # the same of one class, and when
         self.queue = self.cores = 0.0  # cores: requests that it serves side by side, 0: not known
+        self.shown = 1.0  # as many at least, as nothing waited with so many there
         self.slow_at = self.queue_at = self.since = 0  # since: own sends since the last report
         self.warm_at = row.started_ns + settings.cold_ns if row.started_ns else 0
         self.ramp = 1.0  # part of its capacity that it is sure to have, while it is cold
@@ -60,10 +60,10 @@
 
 
 class Attempt:
-    __slots__ = ("endpoint", "may_have_run", "open", "sent", "usual")
+    __slots__ = ("beside", "endpoint", "may_have_run", "open", "sent", "usual")
 
     def __init__(self, endpoint: Endpoint, sent: int, usual: float) -> None:
-        self.endpoint, self.sent, self.usual = endpoint, sent, usual
+        self.endpoint, self.sent, self.usual, self.beside = endpoint, sent, usual, len(endpoint.out) + 1
         self.open = self.may_have_run = True
 
 
@@ -111,7 +111,7 @@
         classes = settings.classes
         self.forget_ns = max(c.deadline_ns for c in classes)  # half-life of what is known of an endpoint
         self.tightest_ns = min(c.target_ns for c in classes)
-        self.admission = Admission(settings, self.random)
+        self.admission, self.side = Admission(settings, self.random), SideBySide(len(classes))
         self.usual_left = [(0, 0)] * len(classes)
         self.class_ns = [c.target_ns / 4 for c in classes]  # usual response time, learned
         self.class_seen, self.hint_mean = [0] * len(classes), [0.0] * len(classes)
@@ -170,6 +170,8 @@
                 # With some waiting, those in work are all that it does side by side. Reports are noisy.
                 cores = max(1.0, min(load[self.held_column] - value, MOST_CORES))
                 e.cores += CORES_ALPHA * (cores - e.cores) if e.cores else cores
+            elif self.held_column < len(load) and value < SHORT_QUEUE[0]:
+                e.shown = max(e.shown, min(load[self.held_column], MOST_CORES))  # and none of them waits
             self.mean_queue += ALPHA * (value - self.mean_queue)
 
     def _tell_peer(self) -> None:
@@ -352,7 +354,7 @@
         able, queued, usual = 0.0, 0.0, max(1.0, sorted(slow)[len(slow) // 4]) if slow else 1.0
         for e, slowdown in zip(self.ready, slow, strict=True):
             warm = e.ramp if self.now < e.warm_at else 1.0
-            able += (e.cores or STEP) * warm / max(1.0, slowdown / usual)
+            able += (max(e.cores, e.shown) if e.cores else STEP * e.shown) * warm / max(1.0, slowdown / usual)
             others = max(0.0, e.queue - len(e.out))
             queued += others * exp2((e.queue_at - self.now) / self.tightest_ns)
         mine = look_open(self.now, ((r.came, r.aim) for r in self.pending.values() if not r.done))
@@ -431,6 +433,8 @@
             self._rest(req.key)
         self._on_report(event)
         if event.status is Status.OK:
+            e, beside = attempt.endpoint, attempt.beside
+            e.shown = min(self.side.by_side(req.event.cls, event.latency_ns, beside, e.shown), MOST_CORES)
             self._learn_class(req, event.latency_ns)
             self.work.add(self.now, attempt.usual)
         if event.status is not Status.MOOT:
