--- a/benchmarks/lab.py
+++ b/benchmarks/lab.py
@@ -5,6 +5,7 @@
 
 import resource
 import time
+from importlib import import_module
 from importlib.util import find_spec
 from typing import Any
 
@@ -62,8 +63,7 @@
 
 
 def with_simpy() -> float:
-    import simpy  # type: ignore[import-untyped,unused-ignore]
-
+    simpy: Any = import_module("simpy")
     draw, env = Streams(1).named("queue").exponential, simpy.Environment()
     server = simpy.Resource(env)
 
