Keep hold of the agent's first survey, which nothing referred to

Cause: found on reading the change once more: each look into the folder began another survey until the first was done, and a task that nothing holds may be collected before it ends.

--- a/anisespool/agent/fleet.py
+++ b/anisespool/agent/fleet.py
@@ -27,6 +27,7 @@
         self.left_out = 0  # sockets beyond the bound
         self.surveyed = asyncio.Event()  # all that the first look found have been asked once
         self._settings, self._on_news = settings, on_news
+        self._surveying: asyncio.Task[None] | None = None
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._nudges: dict[str, asyncio.Event] = {}
 
@@ -35,11 +36,12 @@
         try:
             while True:
                 self._scan()
-                if not self.surveyed.is_set():
-                    asyncio.get_running_loop().create_task(self._survey(list(self.links.values())))
+                if self._surveying is None:  # kept here: a task that nothing holds may be collected
+                    first = list(self.links.values())
+                    self._surveying = asyncio.get_running_loop().create_task(self._survey(first))
                 await asyncio.sleep(self._settings.scan_s)
         finally:
-            for task in self._tasks.values():
+            for task in (*self._tasks.values(), *filter(None, [self._surveying])):
                 task.cancel()
             for link in self.links.values():
                 link.hang_up()
