Take one lock, one socket path and one way to tell drains for what stood twice

Cause: read once more as a whole: the agent and the control folder each held a lock file by code of their own, the command worked out the agent's socket anew, the desk told of drains in three places, the fleet benchmark ran its clients in slices around a stop that the client has itself, and some names were read by nobody (left_out, a parameter of lose, a reader in the command).

Change: place.hold, operator.Agent.socket, Desk._tell_drained; what nobody read is gone. Behaviour and checks are as before.

--- a/anisespool/agent/fleet.py
+++ b/anisespool/agent/fleet.py
@@ -24,7 +24,6 @@
 
     def __init__(self, folder: Path, settings: Agent, on_news: Callable[[Link, Reach, str], None]) -> None:
         self.folder, self.links = folder, dict[str, Link]()
-        self.left_out = 0  # sockets beyond the bound
         self.surveyed = asyncio.Event()  # all that the first look found have been asked once
         self._settings, self._on_news = settings, on_news
         self._surveying: asyncio.Task[None] | None = None
@@ -57,7 +56,6 @@
             self._leave(name)
         room = self._settings.most_instances - len(self.links)
         new = sorted(found.keys() - self.links.keys())
-        self.left_out = max(0, len(new) - room)
         for name in new[: max(0, room)]:
             link = self.links[name] = Link(found[name], self._settings.answer_s)
             self._nudges[name] = asyncio.Event()
--- a/anisespool/agent/main.py
+++ b/anisespool/agent/main.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import fcntl
 import os
 import signal
 import sys
@@ -24,7 +23,7 @@
 from anisespool.agent.v1 import agent_pb2, agent_pb2_grpc
 from anisespool.config.operator import MOST_BYTES, Agent, OperatorFile
 from anisespool.config.platform import ConfigError
-from anisespool.control.place import prepare
+from anisespool.control.place import MOST_PATH, TakenError, hold, prepare
 
 SERVICE = agent_pb2.DESCRIPTOR.services_by_name["Agent"].full_name
 MOST_CALLS = 256
@@ -36,10 +35,6 @@
 )
 
 
-def socket_path(settings: Agent) -> Path:
-    return Path(settings.state).absolute() / "agent.sock"
-
-
 async def serve(
     file: OperatorFile, on_ready: Callable[[], None] = lambda: None, stop: asyncio.Event | None = None,
     on_step: Callable[[Step], None] = lambda step: None,
@@ -69,7 +64,7 @@
     tasks = [loop.create_task(reconciler.fleet.run()), loop.create_task(reconciler.run())]
     try:
         await server.start()
-        socket_path(settings).chmod(0o600)
+        settings.socket.chmod(0o600)
         on_ready()
         stopped = loop.create_task(stop.wait())
         await asyncio.wait([stopped, *tasks], return_when=asyncio.FIRST_COMPLETED)
@@ -87,13 +82,10 @@
 
 def _lock(state: Path) -> int:
     """Danger: two agents on one state would each undo what the other does."""
-    lock = os.open(state / "agent.lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
     try:
-        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-    except OSError:
-        os.close(lock)
+        return hold(state / "agent.lock")
+    except TakenError:
         raise ConfigError(f"agent.state: {state}: another agent is alive there") from None
-    return lock
 
 
 def _signalled() -> asyncio.Event:
@@ -113,10 +105,10 @@
     await healthy.set("", serving)
     names = (SERVICE, health.SERVICE_NAME, reflection.SERVICE_NAME)
     reflection.enable_server_reflection(names, server)
-    path = socket_path(settings)
+    path = settings.socket
     path.unlink(missing_ok=True)
-    if len(os.fsencode(path)) > 107:
-        raise ConfigError(f"agent.state: {path} is longer than 107 bytes")
+    if len(os.fsencode(path)) > MOST_PATH:
+        raise ConfigError(f"agent.state: {path} is longer than {MOST_PATH} bytes")
     server.add_insecure_port(f"unix:{path}")
     if settings.tcp:
         try:
--- a/anisespool/cli/client.py
+++ b/anisespool/cli/client.py
@@ -67,7 +67,7 @@
     file = load(path)
     if file.agent is None:
         raise CommandError(Exit.USAGE, f"{path}: agent: found no such section, wanted [agent] with state")
-    place = Path(file.agent.state).absolute() / "agent.sock"
+    place = file.agent.socket
     hint = f"start one: anisespool agent --config {path}"
     if not place.exists():
         raise CommandError(Exit.NO_AGENT, f"no agent at {place}; {hint}")
--- a/anisespool/cli/lab.py
+++ b/anisespool/cli/lab.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import json
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated
 
 import typer
 from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeRemainingColumn
@@ -163,15 +162,6 @@
     show.out.print(table)
 
 
-def read(path: Path) -> dict[str, Any]:
-    """A file that `search` left."""
-    try:
-        data: dict[str, Any] = json.loads(path.read_text())
-        return data
-    except (OSError, ValueError) as error:
-        raise CommandError(Exit.USAGE, f"{path}: {error}") from None
-
-
 @app.command()
 def search(
     seconds: Annotated[float, typer.Option(min=1, help="How long, on each core.")] = 60.0,
--- a/anisespool/config/operator.py
+++ b/anisespool/config/operator.py
@@ -10,6 +10,7 @@
 import hashlib
 import re
 import tomllib
+from pathlib import Path
 from typing import Annotated, Any, TypeVar
 
 import msgspec
@@ -86,6 +87,11 @@
     most_instances: Annotated[int, Meta(ge=1, le=100_000)] = 10_000
     most_watchers: Annotated[int, Meta(ge=1, le=1000)] = 32
 
+    @property
+    def socket(self) -> Path:
+        """Where its gRPC side listens, and the command finds it."""
+        return Path(self.state).absolute() / "agent.sock"
+
 
 class OperatorFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """The whole file."""
--- a/anisespool/control/desk.py
+++ b/anisespool/control/desk.py
@@ -157,8 +157,7 @@
         if body.get("check"):
             return self.state()
         self._drains_revision, self._drained.fleet = revision, wanted
-        self._sidecar.drain(self._drained.all)
-        self._described = (-FRESH_NS, {})
+        self._tell_drained()
         return self.state()
 
     def drain_endpoint(self, body: Body) -> dict[str, Any]:
@@ -179,8 +178,7 @@
     def _drain_here(self, wanted: frozenset[str]) -> dict[str, Any]:
         changed = wanted != self._drained.here
         self._drained.here = wanted
-        self._sidecar.drain(self._drained.all)
-        self._described = (-FRESH_NS, {})
+        self._tell_drained()
         return self.state() | {"changed": changed}
 
     def _read(self, content: Any) -> tuple[Document, OperatorFile]:
@@ -210,6 +208,11 @@
             text = f"draining {', '.join(sorted(more)[:4])} would leave no endpoint; add force to mean it"
             raise Refusal(409, "last-endpoint", text)
 
+    def _tell_drained(self) -> None:
+        """Whoever drains what: it holds from now on, and the next description shows it."""
+        self._sidecar.drain(self._drained.all)
+        self._described = (-FRESH_NS, {})
+
     def _put(self) -> None:
         """What is now in force reaches those that work by it."""
         connections, given = self._now.connections, self._config.settings.tenants
@@ -222,8 +225,7 @@
         self._steering.watch_at(Address.parse(address) if address else None)
         shares = {n: tenant.share for n, tenant in enumerate(given)} | self._members_of(self._now, "document")
         self._sidecar.retune(shares)
-        self._sidecar.drain(self._drained.all)
-        self._described = (-FRESH_NS, {})
+        self._tell_drained()
 
 
 def _plain(value: Any) -> Any:
--- a/anisespool/control/place.py
+++ b/anisespool/control/place.py
@@ -42,6 +42,17 @@
     """Another living process has that name."""
 
 
+def hold(path: Path) -> int:
+    """The descriptor of a lock file, held until it is closed; TakenError while another process holds it."""
+    lock = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        os.close(lock)
+        raise TakenError(str(path)) from None
+    return lock
+
+
 class Claim:
     """One name in the folder, for as long as this process lives."""
 
@@ -52,13 +63,10 @@
         if len(os.fsencode(self.path)) > MOST_PATH:
             raise ConfigError(f"control.folder: {self.path} is longer than {MOST_PATH} bytes")
         try:
-            self._lock = os.open(folder / f"{name}{LOCK}", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+            self._lock = hold(folder / f"{name}{LOCK}")
         except OSError as error:
             raise ConfigError(f"control.folder: {folder}: {error.strerror}") from None
-        try:
-            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError:
-            os.close(self._lock)
+        except TakenError:
             raise TakenError(f"another process named {name} is alive in {folder}") from None
 
     def listen(self) -> socket.socket:
--- a/anisespool/lab/experiments.py
+++ b/anisespool/lab/experiments.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import hashlib
+import json
 import os
 from collections.abc import Callable, Iterable, Iterator
 from concurrent.futures import ProcessPoolExecutor, as_completed
@@ -111,8 +112,6 @@
 
 def vary(scenario: Scenario, settings: Iterable[str], source: str) -> tuple[str, Scenario]:
     """The scenario with `KEY=VALUE` (dots go down, numbers pick from a list) in place of its own."""
-    import json
-
     raw: dict[str, Any] = json.loads(scenarios.encode(scenario))
     names = []
     for text in settings:
--- a/anisespool/lab/world.py
+++ b/anisespool/lab/world.py
@@ -426,7 +426,7 @@
                         sidecar.idle.pop(row.endpoint, None)
             self.handle(sidecar, event)
 
-    def lose(self, endpoint: Endpoint, drop_connections: bool = True) -> None:
+    def lose(self, endpoint: Endpoint) -> None:
         """Its connections are reset: what was sent on them may have run."""
         for job in [job for job in self.jobs.values() if job.endpoint == endpoint.id]:
             if job.connected:
@@ -434,9 +434,8 @@
                 self.clock.after(hop, self._over, job, Status.RESET)
             else:  # at once: a moment later it would be up, and run what is told not to have run
                 self._over(job, Status.CONNECT_FAILED)
-        if drop_connections:
-            for sidecar in self.sidecars:
-                sidecar.idle.pop(endpoint.id, None)
+        for sidecar in self.sidecars:
+            sidecar.idle.pop(endpoint.id, None)
 
     def restart_sidecar(self, sidecar: Sidecar) -> None:
         """It is killed, and begins anew with the list as it is; what it held is for clients to repeat."""
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -39,10 +39,9 @@
     """A farm of `size` with traffic and an agent."""
 
     def __init__(self, folder: Path, size: int) -> None:
-        self.folder, self.size, self.load = folder, size, Load()
+        self.folder, self.size = folder, size
         self.endpoints = [CountingEndpoint(f"push-{n}", slots=8) for n in range(ENDPOINTS)]
         self.names = [f"edge-{n:03}" for n in range(size)]
-        self.stop_s = float("inf")
         self.farm: Farm
         self.changes = 0
 
@@ -122,16 +121,9 @@
 @asynccontextmanager
 async def traffic(it: Rig, begin_s: float = 1.0, end_s: float = 1.0) -> AsyncIterator[Load]:
     """Clients at each sidecar, from a second before to a second after."""
-    load, it.load = Load(), Load()
-    it.load = load
-    over = asyncio.Event()
-
-    async def one(seed: int, name: str) -> None:
-        client = Client(it.farm.addresses[name], load, seed, name)
-        while not over.is_set():
-            await client.run(RATE, time.monotonic() + 0.5)
-
-    tasks = [asyncio.create_task(one(seed, name)) for seed, name in enumerate(it.names)]
+    load, over = Load(), asyncio.Event()
+    clients = [Client(it.farm.addresses[name], load, seed, name) for seed, name in enumerate(it.names)]
+    tasks = [asyncio.create_task(client.run(RATE, float("inf"), over)) for client in clients]
     await asyncio.sleep(begin_s)
     yield load
     await asyncio.sleep(end_s)
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -63,7 +63,7 @@
             task.result()
         assert self.file.agent
         try:
-            async with grpc.aio.insecure_channel(f"unix:{main.socket_path(self.file.agent)}") as channel:
+            async with grpc.aio.insecure_channel(f"unix:{self.file.agent.socket}") as channel:
                 yield agent_pb2_grpc.AgentStub(channel)
         finally:
             stop.set()
