Play scenarios with real processes beside the model, and report runs as one page

The model answered alone: nobody could see how far it is from real sidecars, nor look at a run. The endpoints' side is now one piece of code on either clock (lab/backend.py); lab/served.py puts it behind sockets, one address for each pair of sidecar and endpoint, and lab/reality.py plays the very wishes of the model against real sidecars, open loop, latency from when a request was due, void beyond a stated lateness, rules judged by the endpoints' counts. lab real shows both side by side; lab report writes one HTML file without outside parts, also of two runs over one another.

--- a/anisespool/cli/lab.py
+++ b/anisespool/cli/lab.py
@@ -2,21 +2,27 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Callable, Coroutine
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any, TypeVar
 
 import typer
 from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeRemainingColumn
 
 from anisespool.cli import show
 from anisespool.cli.client import CommandError, Exit
-from anisespool.lab import experiments, scenario
+from anisespool.lab import experiments, reality, scenario
 from anisespool.lab.experiments import Case
+from anisespool.lab.observe import Seen, rows
 from anisespool.lab.policies import POLICIES
 from anisespool.lab.results import Result, Results
 from anisespool.lab.scenario import ScenarioError
+from anisespool.lab.tally import VoidError
 
 app = typer.Typer(no_args_is_help=True, help="Ask the model of the fleet before you ask the fleet.")
+Made = TypeVar("Made")
+BEAT_S = 0.25  # of a bar
 SHOWN = ("service", "in_time", "late", "refused", "failed")
 
 Name = Annotated[str, typer.Argument(help="A scenario of the library (`lab list`), or a file.")]
@@ -162,6 +168,94 @@
     show.out.print(table)
 
 
+@app.command()
+def real(
+    name: Name, seed: Annotated[int, typer.Option(help="Decides what is asked, and when.")] = 1,
+    set_: Set = [], json_: Json = False,  # noqa: B006
+) -> None:  # fmt: skip
+    """The scenario with real sidecars over loopback, beside the model. Exit 1 if a rule was broken."""
+    title, made = _load(name, set_)
+    played, model = (
+        _played(title, made, seed, json_),
+        experiments.one(Case(title, made, "ours", seed)).figures,
+    )
+    figures = played.tally.figures()
+    table = show.table(f"{name}: {made.asks}", "figure", "model", "reality", "reality less model")
+    for figure in (*SHOWN, "p50_ms", "p99_ms", "attempts", "tries"):
+        gap = figures[figure] - model[figure]
+        table.add_row(figure, f"{model[figure]:.4g}", f"{figures[figure]:.4g}", f"{gap:+.4g}")
+    if json_:
+        extra = {"late_ms": played.late_ms(), "cpu_s": played.cpu_s, "broken": played.broken}
+        show.print_json({"model": model, "reality": figures} | extra)
+    else:
+        show.out.print(table)
+        cpu = ", ".join(f"{seconds:.1f}" for seconds in played.cpu_s)
+        show.out.print(f"sent {played.late_ms():.1f} ms late at the most (p99); CPU of the sidecars {cpu} s")
+    if played.broken:
+        raise CommandError(Exit.FAILED, played.broken)
+
+
+def _played(title: str, made: scenario.Scenario, seed: int, quiet: bool) -> reality.Played:
+    span = made.warm_s + made.seconds
+    columns = (TextColumn("{task.description}"), BarColumn(), TimeRemainingColumn())
+    try:
+        reality.refuse(made, title)
+        with Progress(*columns, console=show.out, transient=True, disable=quiet) as bar:
+            task = bar.add_task("real processes", total=span)
+            return asyncio.run(_with_beat(reality.play(made, seed), lambda: bar.advance(task, BEAT_S)))
+    except ScenarioError as error:
+        raise CommandError(Exit.USAGE, str(error)) from None
+    except VoidError as error:
+        raise CommandError(Exit.FAILED, f"void: {error}") from None
+
+
+async def _with_beat(work: Coroutine[Any, Any, Made], beat: Callable[[], None]) -> Made:
+    task = asyncio.get_running_loop().create_task(work)
+    while not task.done():
+        await asyncio.wait([task], timeout=BEAT_S)
+        beat()
+    return task.result()
+
+
+@app.command()
+def report(
+    name: Name,
+    file: Annotated[Path, typer.Option(help="Where the page goes: one HTML file without outside parts.")],
+    with_: Annotated[str, typer.Option("--with", help="A policy, or `reality`, over it.")] = "",
+    against: Annotated[list[str], typer.Option(help="KEY=VALUE for a second run of ours over it.")] = [],  # noqa: B006
+    policy: Policy = "ours", seed: Annotated[int, typer.Option(help="Of both runs.")] = 1,
+    set_: Set = [], json_: Json = False,  # noqa: B006
+) -> None:  # fmt: skip
+    """A run, or two over one another, as a page and as text. Exit 1 if a rule was broken."""
+    from anisespool.lab import report as pages
+
+    title, made = _load(name, set_)
+    runs = [experiments.seen(Case(_policy(policy), made, policy, seed))]
+    if with_ == "reality":
+        played = _played(title, made, seed, json_)
+        looks, bore = played.looks, played.borne
+        runs.append(Seen("reality", made, played.tally, looks, bore, played.broken))
+    elif with_:
+        runs.append(experiments.seen(Case(_policy(with_), made, with_, seed)))
+    elif against:
+        second, other = _load(name, [*set_, *against])
+        runs.append(experiments.seen(Case(second, other, policy, seed)))
+    file.write_text(pages.page(f"{name}, seed {seed}", runs))
+    for run in runs:
+        table = show.table(f"{name}, {run.name}", *pages.COLUMNS)
+        for row in rows(run.tally):
+            if json_:
+                show.print_json({"run": run.name} | row)
+            table.add_row(*(pages.cell(column, row[column]) for column in pages.COLUMNS))
+        if not json_:
+            show.out.print(table)
+    if not json_:
+        show.out.print(f"written to {file}")
+    broken = [run for run in runs if run.broken]
+    if broken:
+        raise CommandError(Exit.FAILED, f"{broken[0].name}: {broken[0].broken}")
+
+
 @app.command()
 def search(
     seconds: Annotated[float, typer.Option(min=1, help="How long, on each core.")] = 60.0,
--- /dev/null
+++ b/anisespool/lab/arrivals.py
@@ -0,0 +1,99 @@
+"""What clients want and when: open loop, so that nothing which becomes of one request moves the next.
+
+The model plays it on its own clock; a run with real processes asks for the whole plan beforehand, and so
+meets the same wishes at the same moments.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from itertools import accumulate
+from math import exp, log, sqrt
+
+from anisespool.lab.clock import Clock
+from anisespool.lab.scenario import MS, SECOND, Burst, Scenario
+from anisespool.lab.streams import Draws, Streams
+from anisespool.lab.tally import Wish
+
+IDLE_NS = SECOND // 10  # a traffic of nothing is looked at again
+
+
+class Arrivals:
+    """Calls `on_wish` for each, from `first` until `end`; `begin` is where the scenario's own time starts."""
+
+    def __init__(
+        self, scenario: Scenario, draws: Draws, clock: Clock, span: tuple[int, int, int],
+        on_wish: Callable[[Wish], None],
+    ) -> None:  # fmt: skip
+        self.rate = 1.0  # of the traffic, in a trouble
+        self._scenario, self._draws, self._clock, self._on_wish = scenario, draws, clock, on_wish
+        self._first, self._begin, self._end = span
+        self._wishes = 0
+        self._who = shares([1 - scenario.traffic.uneven * n / max(1, scenario.sidecars)
+                            for n in range(scenario.sidecars)])  # fmt: skip
+        self._kinds = shares([c.share for c in scenario.classes])
+
+    def start(self) -> None:
+        self._clock.at(self._first, self._next)
+        for burst in self._scenario.bursts:
+            self._clock.at(self._begin + int(burst.at_s * SECOND), self._burst, burst)
+
+    def _next(self) -> None:
+        traffic, now = self._scenario.traffic, self._clock.now
+        rate = traffic.per_s
+        if traffic.until_per_s is not None:
+            part = (now - self._begin) / (self._end - self._begin)
+            rate += (traffic.until_per_s - rate) * min(1.0, max(0.0, part))
+        rate *= self.rate
+        if self._first < now < self._end:
+            self._wish(self._draws.pick(self._kinds))
+        if now >= self._end:
+            return
+        if rate <= 0:
+            self._clock.after(IDLE_NS, self._next)
+            return
+        gap = self._draws.exponential() if traffic.arrivals == "poisson" else 1.0
+        self._clock.after(max(1, int(gap / rate * SECOND)), self._next)
+
+    def _burst(self, burst: Burst) -> None:
+        for _ in range(burst.count):
+            delay = int(self._draws.uniform() * burst.over_ms * MS)
+            self._clock.after(delay, self._wish, burst.cls)
+        if burst.every_s and self._clock.now + burst.every_s * SECOND < self._end:
+            self._clock.after(int(burst.every_s * SECOND), self._burst, burst)
+
+    def _wish(self, cls: int) -> None:
+        spec, clients, draws = self._scenario.classes[cls], self._scenario.clients, self._draws
+        work = spec.work_ms * MS
+        if spec.work == "exponential":
+            work *= draws.exponential()
+        elif spec.work == "lognormal":
+            sigma2 = log(1 + spec.cv * spec.cv)
+            work *= exp(draws.normal() * sqrt(sigma2) - sigma2 / 2)
+        self._wishes += 1
+        sidecar = draws.pick(self._who)
+        patience = draws.uniform(*clients.gives_up)
+        honours = draws.uniform() < clients.honour
+        self._on_wish(Wish(self._wishes, cls, self._clock.now, max(1, int(work)), sidecar, patience, honours))
+
+
+def plan(scenario: Scenario, seed: int) -> list[Wish]:
+    """All wishes of a run, in order, as the model has them; times are from the first moment of the run."""
+    clock, wishes = Clock(0), list[Wish]()
+    begin = int(scenario.warm_s * SECOND)
+    end = begin + int(scenario.seconds * SECOND)
+    arrivals = Arrivals(scenario, Streams(seed).named("arrivals"), clock, (0, begin, end), wishes.append)
+    arrivals.start()
+    for trouble in scenario.troubles:
+        if trouble.kind == "traffic":
+            at = begin + int(trouble.at_s * SECOND)
+            clock.at(at, setattr, arrivals, "rate", trouble.size)
+            clock.at(at + int(trouble.for_s * SECOND), setattr, arrivals, "rate", 1.0)
+    clock.run(end)
+    return wishes
+
+
+def shares(weights: list[float]) -> list[float]:
+    """Running sums up to 1, to pick from."""
+    total = sum(weights)
+    return list(accumulate(weight / total for weight in weights))
--- a/anisespool/lab/experiments.py
+++ b/anisespool/lab/experiments.py
@@ -17,6 +17,7 @@
 
 import shuntlead
 from anisespool.lab import scenario as scenarios
+from anisespool.lab.observe import Observer, Seen, borne
 from anisespool.lab.policies import POLICIES
 from anisespool.lab.results import Result, Results
 from anisespool.lab.scenario import Scenario, ScenarioError
@@ -56,6 +57,14 @@
     return Result(key(case, text), case.name, case.policy, case.seed, world.broken, tally.figures())
 
 
+def seen(case: Case) -> Seen:
+    """A run in this process, looked at on its way, for a report."""
+    world = World(case.scenario, case.seed, POLICIES[case.policy])
+    observer = Observer(world, world.begin, world.end)
+    tally = world.run()
+    return Seen(case.name, case.scenario, tally, observer.looks, borne(world), world.broken)
+
+
 def many(
     cases: Iterable[Case], results: Results, processes: int | None = None,
     on_each: Callable[[Result], None] = lambda result: None,
--- a/anisespool/lab/scenario.py
+++ b/anisespool/lab/scenario.py
@@ -253,8 +253,13 @@
 
 def settings(made: Scenario, index: int = 0, zone: int = 0) -> Settings:
     """What the platform would tell the sidecar of that number."""
+    return Settings.from_dict(raw_settings(made, index, zone))
+
+
+def raw_settings(made: Scenario, index: int = 0, zone: int = 0) -> dict[str, Any]:
+    """The same in the platform's own form."""
     rules = made.rules
-    return Settings.from_dict({
+    return {
         "zone": zone, "fleet-size": made.sidecars, "self-index": index, "resolution-ns": MS,
         "allowed": {"attempts-cap": rules.attempts, "cancel": True, "may-duplicate": False,
                     "retry-after": rules.longest_return_ms > 0,
@@ -266,7 +271,8 @@
         "report": {"columns": list(made.reports.columns),
                    "how": "piggyback" if made.reports.columns else "silent"},
         "request-classes": [
-            {"target-ns": int(c.target_ms * MS), "deadline-ns": int(c.deadline_ms * MS), "effect": c.effect,
+            {"name": c.name, "effect": c.effect,
+             "target-ns": int(c.target_ms * MS), "deadline-ns": int(c.deadline_ms * MS),
              "worth": c.worth, "dedup-window-ns": int(c.deadline_ms * MS)}
             for c in made.classes],
-    })  # fmt: skip
+    }  # fmt: skip
--- a/anisespool/lab/troubles.py
+++ b/anisespool/lab/troubles.py
@@ -3,15 +3,44 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Protocol
 
+from anisespool.lab.backend import Ticks
 from anisespool.lab.endpoint import Endpoint
-from anisespool.lab.scenario import SECOND, Trouble
+from anisespool.lab.scenario import SECOND, Scenario, Trouble
 from anisespool.lab.streams import Draws
-from anisespool.lab.world import World
 from shuntlead.interface import EndpointState
 
 
-def schedule(world: World, draws: Draws) -> None:
+class Stage(Protocol):
+    """A run, in the model or with real processes, as the troubles see it."""
+
+    scenario: Scenario
+    begin: int  # when the scenario's own time starts, by its clock
+    endpoints: list[Endpoint]
+    lag: float  # of membership's news, times
+
+    @property
+    def clock(self) -> Ticks: ...
+
+    def log(self, *words: object) -> None: ...
+
+    def set_rate(self, times: float) -> None:
+        """Of the traffic."""
+
+    def restart_sidecar(self, number: int) -> None: ...
+
+    def lose(self, endpoint: Endpoint) -> None:
+        """Its connections are reset; where it is dead no more come up."""
+
+    def tell(self, endpoint: Endpoint, state: EndpointState) -> None:
+        """A change, to every sidecar in its own time."""
+
+    def tell_all(self, rows: bool) -> None:
+        """The whole list, or an empty one."""
+
+
+def schedule(world: Stage, draws: Draws) -> None:
     """Every trouble of the scenario at its moment."""
     for trouble in world.scenario.troubles:
         at = world.begin + int(trouble.at_s * SECOND)
@@ -25,7 +54,7 @@
             world.clock.at(over, _log_and, world, trouble, endpoint, False)
 
 
-def _hit(world: World, trouble: Trouble, draws: Draws) -> list[Endpoint]:
+def _hit(world: Stage, trouble: Trouble, draws: Draws) -> list[Endpoint]:
     if trouble.endpoints:
         return [world.endpoints[number] for number in trouble.endpoints]
     count = max(1, round(trouble.part * len(world.endpoints))) if trouble.part else 0
@@ -33,50 +62,55 @@
     return order[:count]
 
 
-def _of_all(world: World, trouble: Trouble, begins: bool) -> None:
+def _of_all(world: Stage, trouble: Trouble, begins: bool) -> None:
     world.log("trouble", trouble.kind, begins)
     if trouble.kind == "traffic":
-        world.rate = trouble.size if begins else 1.0
+        world.set_rate(trouble.size if begins else 1.0)
     elif trouble.kind == "stale":
         world.lag = trouble.size if begins else 1.0
     elif trouble.kind == "wipe":
         world.tell_all(rows=not begins)
     elif begins:
-        world.restart_sidecar(world.sidecars[int(trouble.part * (len(world.sidecars) - 1))])
+        world.restart_sidecar(struck(trouble, world.scenario))
+
+
+def struck(trouble: Trouble, scenario: Scenario) -> int:
+    """The number of the sidecar that a trouble restarts."""
+    return int(trouble.part * (scenario.sidecars - 1))
 
 
-def _log_and(world: World, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
+def _log_and(world: Stage, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
     world.log("trouble", trouble.kind, endpoint.id, begins)
     KINDS[trouble.kind](world, trouble, endpoint, begins)
 
 
-def _slow(world: World, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
+def _slow(world: Stage, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
     endpoint.ails.slow = trouble.size if begins else 1.0
 
 
-def _fail(world: World, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
+def _fail(world: Stage, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
     endpoint.ails.fails = trouble.size if begins else 0.0
 
 
-def _neighbour(world: World, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
+def _neighbour(world: Stage, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
     endpoint.ails.taken = min(trouble.size, 0.99) if begins else 0.0
 
 
-def _delay(world: World, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
+def _delay(world: Stage, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
     endpoint.ails.delay = trouble.size if begins else 1.0
 
 
-def _pause(world: World, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
+def _pause(world: Stage, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
     if begins:
         endpoint.ails.paused_until = world.clock.now + int(trouble.for_s * SECOND)
 
 
-def _reset(world: World, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
+def _reset(world: Stage, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
     if begins:
         world.lose(endpoint)
 
 
-def _kill(world: World, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
+def _kill(world: Stage, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
     """Its process dies, and another begins after `for_s`."""
     if begins:
         endpoint.ails.dead = True
@@ -86,7 +120,7 @@
         _begin_again(world, endpoint)
 
 
-def _vanish(world: World, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
+def _vanish(world: Stage, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
     """Its machine says nothing; when it is back, all that was open is reset."""
     if begins:
         endpoint.ails.vanished = True
@@ -95,7 +129,7 @@
         _begin_again(world, endpoint)
 
 
-def _restart(world: World, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
+def _restart(world: Stage, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
     """In order: it drains for `for_s`, and another process takes its place."""
     if begins:
         world.tell(endpoint, EndpointState.DRAINING)
@@ -104,16 +138,16 @@
         _begin_again(world, endpoint)
 
 
-def _drain(world: World, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
+def _drain(world: Stage, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
     world.tell(endpoint, EndpointState.DRAINING if begins else EndpointState.READY)
 
 
-def _begin_again(world: World, endpoint: Endpoint) -> None:
+def _begin_again(world: Stage, endpoint: Endpoint) -> None:
     endpoint.restart(world.clock.now)
     world.tell(endpoint, EndpointState.READY)
 
 
-KINDS: dict[str, Callable[[World, Trouble, Endpoint, bool], None]] = {
+KINDS: dict[str, Callable[[Stage, Trouble, Endpoint, bool], None]] = {
     "slow": _slow, "fail": _fail, "neighbour": _neighbour, "delay": _delay, "pause": _pause, "reset": _reset,
     "kill": _kill, "vanish": _vanish, "restart": _restart, "drain": _drain,
 }  # fmt: skip
--- a/anisespool/lab/world.py
+++ b/anisespool/lab/world.py
@@ -6,17 +6,18 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Callable, Iterator
-from itertools import accumulate
-from math import exp, log, sqrt
+from collections.abc import Callable
 from typing import Any
 
+from anisespool.lab.arrivals import Arrivals
+from anisespool.lab.backend import Backend, hop_ns, span_ns
 from anisespool.lab.checker import Checker, RuleError, must
 from anisespool.lab.clock import Clock
 from anisespool.lab.endpoint import Endpoint, Job
-from anisespool.lab.scenario import MS, SECOND, Burst, Scenario, settings
+from anisespool.lab.scenario import MS, SECOND, Scenario, settings
 from anisespool.lab.streams import Streams
 from anisespool.lab.tally import Tally, Wish
+from anisespool.lab.troubles import schedule
 from shuntlead import Balancer
 from shuntlead import interface as api
 from shuntlead.interface import EndpointState, RosterForm, Settings, Status
@@ -43,57 +44,40 @@
         self.life = 0
 
 
-class World:
+class World(Backend):
     """One run. `broken` holds the first rule that was broken; the run ends there."""
 
     def __init__(self, scenario: Scenario, seed: int, module: Module = ours, logged: bool = False) -> None:
-        self.scenario, self.seed, self.clock, self._make = scenario, seed, Clock(BEGIN), module
+        self.clock: Clock
+        streams = self._streams = Streams(seed)
+        super().__init__(scenario, streams, Clock(BEGIN))
+        self.seed, self._make = seed, module
         self.broken = ""
         self._log = hashlib.blake2b(digest_size=16) if logged else None
-        streams = self._streams = Streams(seed)
-        self._net, self._arrive, self._clients, self._reports = (
-            streams.named(name) for name in ("network", "arrivals", "clients", "reports")
-        )
-        self._fails, self._news = streams.named("failures"), streams.named("membership")
-        self.begin = BEGIN + int(scenario.warm_s * SECOND)
-        self.end = self.begin + int(scenario.seconds * SECOND)
+        self._net, self._news = streams.named("network"), streams.named("membership")
+        self.begin, self.end = span_ns(scenario, BEGIN)
         self.tally = Tally(scenario, self.begin)
-        self.endpoints = list(self._build(streams))
         zones = sorted({e.spec.zone for e in self.endpoints})
         self.open: dict[tuple[int, int], tuple[Wish, int, int]] = {}  # (sidecar, request): due, came
         self.jobs: dict[tuple[int, int, int], Job] = {}
-        self.rate = 1.0  # of the traffic, in a trouble
+        span = (BEGIN, self.begin, self.end)
+        self.arrivals = Arrivals(scenario, streams.named("arrivals"), self.clock, span, self._wished)
         self.lag = 1.0  # of membership's news
-        self._requests = self._wishes = self._revision = 0
+        self._requests = self._revision = 0
         self.sidecars = [
             Sidecar(n, zones[n % len(zones)], settings(scenario, n, zones[n % len(zones)]))
             for n in range(scenario.sidecars)
         ]
-        self._who = _shares([1 - scenario.traffic.uneven * n / max(1, scenario.sidecars)
-                             for n in range(scenario.sidecars)])  # fmt: skip
-        self._kinds = _shares([c.share for c in scenario.classes])
-
-    def _build(self, streams: Streams) -> Iterator[Endpoint]:
-        number, draws = 0, streams.named("endpoints")
-        for kind, spec in enumerate(self.scenario.endpoints):
-            for _ in range(spec.count):
-                number += 1
-                speed = spec.speed * draws.uniform(1 - spec.speed_spread, 1 + spec.speed_spread)
-                yield Endpoint(number, kind, spec, self.scenario.rules, speed)
 
     # The run --------------------------------------------------------------------------------------
 
     def run(self) -> Tally:
         """Until all that was asked has ended. A broken rule ends it at once, and stands in `broken`."""
-        from anisespool.lab.troubles import schedule
-
         try:
             for sidecar in self.sidecars:
                 self._begin(sidecar)
             schedule(self, self._streams.named("troubles"))
-            self.clock.at(BEGIN, self._next_arrival)
-            for burst in self.scenario.bursts:
-                self.clock.at(self.begin + int(burst.at_s * SECOND), self._burst, burst)
+            self.arrivals.start()
             self.clock.run(self.end)
             longest = max(c.deadline_ms for c in self.scenario.classes) * self.scenario.clients.tries
             self.clock.run(self.end + int(2 * longest * MS) + 10 * SECOND)
@@ -123,44 +107,7 @@
 
     # Clients --------------------------------------------------------------------------------------
 
-    def _next_arrival(self) -> None:
-        """Open loop: the next comes when it is due, whatever became of those before."""
-        traffic, now = self.scenario.traffic, self.clock.now
-        rate = traffic.per_s
-        if traffic.until_per_s is not None:
-            part = (now - self.begin) / (self.end - self.begin)
-            rate += (traffic.until_per_s - rate) * min(1.0, max(0.0, part))
-        rate *= self.rate
-        if now > BEGIN and now < self.end:
-            self._wish(self._arrive.pick(self._kinds))
-        if now >= self.end:
-            return
-        if rate <= 0:
-            self.clock.after(SECOND // 10, self._next_arrival)
-            return
-        gap = self._arrive.exponential() if traffic.arrivals == "poisson" else 1.0
-        self.clock.after(max(1, int(gap / rate * SECOND)), self._next_arrival)
-
-    def _burst(self, burst: Burst) -> None:
-        for _ in range(burst.count):
-            delay = int(self._arrive.uniform() * burst.over_ms * MS)
-            self.clock.after(delay, self._wish, burst.cls)
-        if burst.every_s and self.clock.now + burst.every_s * SECOND < self.end:
-            self.clock.after(int(burst.every_s * SECOND), self._burst, burst)
-
-    def _wish(self, cls: int) -> None:
-        spec, clients = self.scenario.classes[cls], self.scenario.clients
-        work = spec.work_ms * MS
-        if spec.work == "exponential":
-            work *= self._arrive.exponential()
-        elif spec.work == "lognormal":
-            sigma2 = log(1 + spec.cv * spec.cv)
-            work *= exp(self._arrive.normal() * sqrt(sigma2) - sigma2 / 2)
-        self._wishes += 1
-        sidecar = self._arrive.pick(self._who)
-        patience = self._arrive.uniform(*clients.gives_up)
-        honours = self._arrive.uniform() < clients.honour
-        wish = Wish(self._wishes, cls, self.clock.now, max(1, int(work)), sidecar, patience, honours)
+    def _wished(self, wish: Wish) -> None:
         self.tally.wished(wish)
         self._ask(wish)
 
@@ -260,10 +207,9 @@
 
     def hop(self, sidecar: Sidecar, endpoint: Endpoint) -> int:
         """One way between the two, this time."""
-        net = self.scenario.network
-        mean = net.same_ms if sidecar.zone == endpoint.spec.zone else net.cross_ms
-        spread = self._net.uniform(1 - net.spread, 1 + net.spread) if net.spread else 1.0
-        return int(mean * MS * spread * endpoint.ails.delay)
+        wide = self.scenario.network.spread
+        spread = self._net.uniform(1 - wide, 1 + wide) if wide else 1.0
+        return hop_ns(self.scenario, sidecar.zone == endpoint.spec.zone, spread, endpoint.ails.delay)
 
     def _connect(self, sidecar: Sidecar, endpoint: Endpoint, job: Job) -> None:
         hop, ails = self.hop(sidecar, endpoint), endpoint.ails
@@ -271,7 +217,7 @@
         if idle:
             sidecar.idle[endpoint.id] = idle - 1
             job.connected = True
-            self.clock.after(hop, self._arrived, job)
+            self.clock.after(hop, self.arrive, job)
             return
         job.fresh = True
         if ails.vanished or endpoint.fallen:
@@ -292,7 +238,7 @@
                 self._over(job, Status.CONNECT_FAILED)
             return
         job.connected = True
-        self.clock.after(self.hop(sidecar, endpoint), self._arrived, job)
+        self.clock.after(self.hop(sidecar, endpoint), self.arrive, job)
 
     def _give_up(self, job: Job, status: Status) -> None:
         """The sidecar stops waiting. What never had a connection has surely not run."""
@@ -300,26 +246,11 @@
             return
         sidecar, endpoint = self.sidecars[job.sidecar], self.endpoints[job.endpoint - 1]
         if job.connected:
-            self.clock.after(self.hop(sidecar, endpoint), self._stop, job)
+            self.clock.after(self.hop(sidecar, endpoint), self.stop, job)
         elif status is Status.TIMEOUT:
             status = Status.CONNECT_FAILED
         self._over(job, status)
 
-    def _stop(self, job: Job) -> None:
-        """The end of its connection has reached the endpoint."""
-        endpoint = self.endpoints[job.endpoint - 1]
-        if endpoint.life != job.life or job.stopped:
-            return
-        endpoint.connections -= 1
-        if endpoint.spec.cancel == "none":
-            return
-        if not job.running:
-            job.stopped = True
-        elif endpoint.spec.cancel == "all":
-            job.stopped, job.running = True, False
-            endpoint.busy -= 1
-            self._start(endpoint)
-
     def _over(self, job: Job, status: Status, load: tuple[float, ...] = ()) -> None:
         """The attempt ends for its module, once."""
         if job.over:
@@ -339,55 +270,12 @@
 
     # Endpoints ------------------------------------------------------------------------------------
 
-    def _arrived(self, job: Job) -> None:
-        endpoint, now = self.endpoints[job.endpoint - 1], self.clock.now
-        if endpoint.life != job.life or endpoint.ails.dead:
-            return  # whoever held it was told by a reset
-        told = self.sidecars[job.sidecar].told.get(endpoint.id) == endpoint.started
-        broke = endpoint.weigh(now, job.work_ns, told)
-        must(not broke, f"rule 4: endpoint {endpoint.id} was pushed over while it was cold")
-        if endpoint.fallen or endpoint.ails.vanished:
-            return
-        if endpoint.ails.fails and self._fails.uniform() < endpoint.ails.fails:
-            job.wish.runs += 1
-            self._reply(endpoint, job, Status.ERROR)
-            return
-        if status := endpoint.take(job):
-            self._reply(endpoint, job, status)
-            return
-        self._start(endpoint)
-
-    def _start(self, endpoint: Endpoint) -> None:
-        now = self.clock.now
-        while job := endpoint.next():
-            wish = job.wish
-            wish.runs += 1
-            unsafe = self.scenario.classes[wish.cls].effect == "once"
-            must(not unsafe or wish.runs == 1, f"rule 2: wish {wish.number} ran twice")
-            took = int(job.work_ns / endpoint.able(now))
-            endpoint.borne_ns += took
-            self.clock.after(max(1, took), self._finish, endpoint, job)
-
-    def _finish(self, endpoint: Endpoint, job: Job) -> None:
-        if endpoint.life != job.life or job.stopped:
-            return
-        now = self.clock.now
-        if now < endpoint.ails.paused_until:
-            self.clock.at(endpoint.ails.paused_until, self._finish, endpoint, job)
-            return
-        job.running, job.stopped = False, True
-        self._reply(endpoint, job, Status.OK)  # still held while its answer, with the report, is made
-        endpoint.busy -= 1
-        self._start(endpoint)
+    def told_of(self, job: Job, endpoint: Endpoint) -> bool:
+        return self.sidecars[job.sidecar].told.get(endpoint.id) == endpoint.started
 
-    def _reply(self, endpoint: Endpoint, job: Job, status: Status) -> None:
-        if endpoint.ails.vanished or endpoint.fallen:
-            return
-        every = self.scenario.reports.every_ms
-        until = self.clock.now + int(self._reports.uniform(*every) * MS)
-        load = endpoint.report(self.clock.now, tuple(self.scenario.reports.columns), until)
-        sidecar = self.sidecars[job.sidecar]
-        self.clock.after(self.hop(sidecar, endpoint), self._answered, endpoint, job, status, load)
+    def answer(self, endpoint: Endpoint, job: Job, status: Status, load: tuple[float, ...]) -> None:
+        hop = self.hop(self.sidecars[job.sidecar], endpoint)
+        self.clock.after(hop, self._answered, endpoint, job, status, load)
 
     def _answered(self, endpoint: Endpoint, job: Job, status: Status, load: tuple[float, ...]) -> None:
         if not job.over and endpoint.life == job.life:
@@ -437,16 +325,15 @@
         for sidecar in self.sidecars:
             sidecar.idle.pop(endpoint.id, None)
 
-    def restart_sidecar(self, sidecar: Sidecar) -> None:
+    def set_rate(self, times: float) -> None:
+        self.arrivals.rate = times
+
+    def restart_sidecar(self, number: int) -> None:
         """It is killed, and begins anew with the list as it is; what it held is for clients to repeat."""
+        sidecar = self.sidecars[number]
         for job in [job for job in self.jobs.values() if job.sidecar == sidecar.number]:
             job.over = True
             del self.jobs[job.sidecar, job.request, job.number]
         for key in [key for key in self.open if key[0] == sidecar.number]:
             self._failed(self._close(key))
         self._begin(sidecar)
-
-
-def _shares(weights: list[float]) -> list[float]:
-    total = sum(weights)
-    return list(accumulate(weight / total for weight in weights))
--- a/anisespool/standins/roster.py
+++ b/anisespool/standins/roster.py
@@ -42,3 +42,11 @@
         for _, writer in self.connections:
             if not writer.is_closing():
                 write_line(writer, member_list(self.revision, [entry], complete=False))
+
+    def tell_all(self, members: list[dict[str, Any]]) -> None:
+        """The whole list anew."""
+        self.revision += 1
+        self.members = {entry["id"]: entry for entry in members}
+        for _, writer in self.connections:
+            if not writer.is_closing():
+                write_line(writer, member_list(self.revision, members))
--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -7,7 +7,7 @@
 import sys
 from collections.abc import Callable
 
-from benchmarks import admission, burst, decision, fleet, lab, overload
+from benchmarks import admission, burst, decision, fleet, lab, overload, reality
 from benchmarks.report import Report
 
 NAMES: dict[str, Callable[[], Report]] = {
@@ -17,6 +17,7 @@
     "fleet": fleet.main,
     "lab": lab.main,
     "overload": overload.main,
+    "reality": reality.main,
 }
 
 
--- a/tests/test_arrows.py
+++ b/tests/test_arrows.py
@@ -21,7 +21,7 @@
     "fronts": BASE | {"core"},
     "control": BASE | {"core"},
     "agent": BASE | {"control"},
-    "lab": {"rules", "standins"},
+    "lab": {"config", "rules", "standins"},
     "cli": BASE | {"agent", "standins", "instance", "lab"},
     "standins": BASE | {"agent"},
     "instance": BASE | {"core", "fronts", "backs", "membership", "control"},
