Measure overload on the lab, 5,000 sidecars, and how the lab ranks policies

The overload benchmark ran in the tests' own world, one core at a time. The theory's seeds run side by side in the tests.

--- a/benchmarks/lab.py
+++ b/benchmarks/lab.py
@@ -1,5 +1,5 @@
-"""How fast the model plays: requests a second of one core by the size of the fleet, and its event heap beside
-simpy's on the same queue (M/M/1), where simpy is installed."""
+"""How fast the model plays: requests a second of one core by the size of the fleet, its event heap beside
+simpy's on the same queue (M/M/1), where simpy is installed, 5,000 sidecars; and how it ranks policies."""
 
 from __future__ import annotations
 
@@ -9,8 +9,12 @@
 from importlib.util import find_spec
 from typing import Any
 
+import msgspec
+
 from anisespool.lab.clock import Clock
-from anisespool.lab.scenario import from_raw
+from anisespool.lab.experiments import Case, many, vary
+from anisespool.lab.results import Results
+from anisespool.lab.scenario import from_raw, load
 from anisespool.lab.streams import Streams
 from anisespool.lab.world import World
 from benchmarks.report import Report
@@ -18,6 +22,19 @@
 SIZES = ((10, 3), (100, 3), (1000, 3), (60, 300))  # endpoints, sidecars
 ASKED = 20_000
 CUSTOMERS = 200_000
+CROWD = ("sidecars=5000", "seconds=60", "warm_s=0")  # of the scenario `big`: 60 endpoints, 1,500 a second
+POLICIES = ("random", "least-open", "ours")
+SEEDS = (1, 2, 3)
+DAYS: dict[str, list[dict[str, Any]]] = {  # at the site, as the kinds of days that its operators play
+    "quiet": [],
+    "errors, slow": [{"kind": "fail", "at_s": 5, "for_s": 15, "size": 0.8, "part": 0.1},
+                     {"kind": "slow", "at_s": 10, "for_s": 12, "size": 5, "part": 0.1}],
+    "burst, neighbour, slow": [{"kind": "traffic", "at_s": 4, "for_s": 6, "size": 1.6},
+                               {"kind": "neighbour", "at_s": 8, "for_s": 15, "size": 0.5, "part": 0.2},
+                               {"kind": "slow", "at_s": 12, "for_s": 10, "size": 4, "part": 0.1}],
+    "overload, errors": [{"kind": "traffic", "at_s": 3, "for_s": 20, "size": 2.6},
+                         {"kind": "fail", "at_s": 8, "for_s": 12, "size": 0.8, "part": 0.1}],
+}  # fmt: skip
 
 
 def play(endpoints: int, sidecars: int) -> tuple[float, float]:
@@ -83,6 +100,31 @@
     return CUSTOMERS / (time.process_time() - begun)
 
 
+def ranks() -> list[tuple[Any, ...]]:
+    """Service by day and policy, the mean of the seeds."""
+    cases, raw = [], msgspec.to_builtins(load("site"))
+    for day, troubles in DAYS.items():
+        made = from_raw(raw | {"troubles": troubles}, day)
+        cases += [Case(day, made, policy, seed) for policy in POLICIES for seed in SEEDS]
+    results = many(cases, Results(None))
+    rows = []
+    for day in DAYS:
+        row: list[Any] = [day]
+        for policy in POLICIES:
+            found = [r.figures["service"] for r in results if (r.case, r.policy) == (day, policy)]
+            row.append(f"{sum(found) / len(found):.3f}")
+        rows.append(tuple(row))
+    return rows
+
+
+def crowd() -> tuple[float, int]:
+    """Seconds of CPU of 5,000 sidecars for a minute, and the requests."""
+    _, made = vary(load("big"), CROWD, "big")
+    begun = time.process_time()
+    tally = World(made, 1).run()
+    return time.process_time() - begun, tally.tries
+
+
 def main() -> Report:
     report = Report(
         "The model on one core", ("endpoints", "sidecars", "requests/s", "events each", "peak MB")
@@ -96,4 +138,9 @@
     if find_spec("simpy"):
         rows.append(("simpy", round(max(with_simpy() for _ in range(3)))))
     report.part("M/M/1 at 0.8, customers a second, the best of three", ("events by", "a second"), *rows)
+    report.part("Service at the site, means of three seeds", ("day", *POLICIES), *ranks())
+    took, tries = crowd()
+    peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+    columns = ("requests", "CPU s", "peak MB")
+    report.part("5,000 sidecars, 60 endpoints, 60 s", columns, (tries, round(took), round(peak)))
     return report
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -1,4 +1,4 @@
-"""Overload in the deterministic world: goodput against the best fixed limit for that load, and its end.
+"""Overload in the lab's model: goodput against the best fixed limit for that load, and its end.
 
 Ten endpoints of three cores and 20 ms (1,500 a second), three modules that share nothing. The best fixed
 limit is looked for anew for each load, which nobody in service could do.
@@ -8,6 +8,8 @@
 
 import os
 from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -18,49 +20,38 @@
 SPREADS = (0.0, 1.0)  # of the work: all alike, exponential
 LIMITS = (20, 40, 60, 80, 100, 120, 140, 170, 200)  # open requests a module
 SEEDS = (1, 2, 3)
-SECONDS, CAPACITY, MODULES = 6, 1500, 3
+SECONDS, AFTER_S, CAPACITY, MODULES = 6, 3, 1500, 3
 
 
-def _settings() -> Any:
-    from tests.support import MS, SECOND, settings
-
-    classes = [{"target-ns": 400 * MS, "deadline-ns": SECOND, "effect": "once"}]
-    return settings(
-        request_classes=classes, fleet_size=MODULES, report__columns=["queue", "inflight"],
-        guarantees__cold_ns=23 * SECOND,
-    )  # fmt: skip
-
-
-def _fixed(limit: int) -> Callable[[Any, int], Any]:
+def _fixed(limit: int) -> Callable[[Any, int, Any], Any]:
     from shuntlead import Balancer
 
     class Fixed(Balancer):
         def _too_busy(self, req: Any) -> bool:
             return self.open > limit
 
-    return Fixed
+    return lambda settings, seed, world: Fixed(settings, seed)
 
 
 def _day(times: float, spread: float, seed: int, limit: int = 0) -> tuple[float, float]:
     """Shares of the possible in time: in the overload from its second on, and from 2 s after its end."""
-    from shuntlead import Balancer
-    from tests.deterministic import Count, Machine, World
-    from tests.support import MS, SECOND
-
-    module: Callable[[Any, int], Any] = _fixed(limit) if limit else Balancer
-    it = World(_settings(), [Machine(n) for n in range(1, 11)], MODULES, seed, module=module)
-    it.steady(it.now, 5, 150, 20 * MS, spread=spread)
-    it.run(it.now + 5 * SECOND)
-    start = it.now
-    it.steady(start, SECONDS, CAPACITY * times, 20 * MS, spread=spread)
-    it.run(start + (SECONDS + 2) * SECOND)
-    end = it.now
-    it.steady(end, 3, 300, 20 * MS, spread=spread)
-    it.run(end + 3 * SECOND)
-    it.settle()
-    it.check()
-    found, after = Count.of(it, start + SECOND, start + SECONDS * SECOND), Count.of(it, end)
-    return found.in_time / (CAPACITY * (SECONDS - 1)), after.in_time / max(after.asked, 1)
+    from anisespool.lab.scenario import from_raw
+    from anisespool.lab.world import World, ours
+
+    after_s, quiet = SECONDS + 2, CAPACITY / 10
+    troubles = [{"kind": "traffic", "at_s": 0, "for_s": SECONDS, "size": times * CAPACITY / quiet},
+                {"kind": "traffic", "at_s": after_s, "for_s": AFTER_S, "size": 2}]  # fmt: skip
+    work = "exponential" if spread else "alike"
+    raw = {"warm_s": 5, "seconds": after_s + AFTER_S, "sidecars": MODULES, "traffic": {"per_s": quiet},
+           "classes": [{"name": "x", "work": work}], "troubles": troubles}  # fmt: skip
+    world = World(from_raw(raw, "overload"), seed, _fixed(limit) if limit else ours)
+    tally = world.run()
+    if world.broken:
+        raise AssertionError(world.broken)
+    found = sum(tally.windows[second][0, "in_time"] for second in range(1, SECONDS))
+    last = [tally.windows[second] for second in range(after_s, after_s + AFTER_S)]
+    in_time = sum(window[0, "in_time"] for window in last)
+    return found / (CAPACITY * (SECONDS - 1)), in_time / max(1, sum(sum(w.values()) for w in last))
 
 
 def mean(times: float, spread: float, limit: int = 0) -> tuple[float, float]:
@@ -72,10 +63,12 @@
     columns = ("load", "work", "goodput %", "best limit", "its %", "of best %", "before %", "after 2 s %")
     report = Report("Overload, share of 1,500 a second answered in time; means of three seeds", columns)
     before = os.environ.get("BURST_BEFORE")
+    pool = ProcessPoolExecutor(os.cpu_count())
     for times in LOADS:
         for spread in SPREADS:
-            goodput, after = mean(times, spread)
-            best, limit = max((mean(times, spread, limit)[0], limit) for limit in LIMITS)
+            of_case = partial(mean, times, spread)
+            (goodput, after), *fixed = pool.map(of_case, (0, *LIMITS))
+            best, limit = max((found[0], limit) for found, limit in zip(fixed, LIMITS, strict=True))
             old = elsewhere.figures(Path(before), "overload.mean", times, spread)[0] if before else None
             name = "exponential" if spread else "alike"
             report.add(times, name, 100 * goodput, limit, 100 * best, 100 * goodput / best,
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -5,6 +5,8 @@
 import os
 import subprocess
 import sys
+from concurrent.futures import ProcessPoolExecutor
+from itertools import repeat
 from math import factorial
 from pathlib import Path
 from typing import Any
@@ -41,14 +43,17 @@
     }, "queue")  # fmt: skip
 
 
+def one_mean(made: Any, seed: int, policy: str) -> float:
+    world = World(made, seed, POLICIES[policy])
+    tally = world.run()
+    assert not world.broken
+    return float(tally.latency[0].get_mean_value()) / 20_000
+
+
 def time_in_system(made: Any, policy: str = "random", seeds: tuple[int, ...] = SEEDS) -> tuple[float, float]:
     """Mean over the seeds in service times, and the half-width of its interval."""
-    means = []
-    for seed in seeds:
-        world = World(made, seed, POLICIES[policy])
-        tally = world.run()
-        assert not world.broken
-        means.append(tally.latency[0].get_mean_value() / 20_000)
+    with ProcessPoolExecutor(len(seeds)) as pool:
+        means = list(pool.map(one_mean, repeat(made), seeds, repeat(policy)))
     mean = sum(means) / len(means)
     return mean, 3.18 * (sum((m - mean) ** 2 for m in means) / (len(means) - 1) / len(means)) ** 0.5
 
