Say in a line why real processes could not be played

lab real and lab report let a process that never came up end in a trace; it is one line now, and a test runs the words: real beside the model, a scenario that loopback can't show, a page over reality, a policy that is not there.

--- a/anisespool/cli/lab.py
+++ b/anisespool/cli/lab.py
@@ -207,6 +207,9 @@
         raise CommandError(Exit.USAGE, str(error)) from None
     except VoidError as error:
         raise CommandError(Exit.FAILED, f"void: {error}") from None
+    except (OSError, RuntimeError, TimeoutError) as error:
+        text = str(error) or "a sidecar was not ready in time"
+        raise CommandError(Exit.FAILED, f"real processes: {text}; fewer sidecars may do") from None
 
 
 async def _with_beat(work: Coroutine[Any, Any, Made], beat: Callable[[], None]) -> Made:
--- a/tests/test_reality.py
+++ b/tests/test_reality.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import time
+from pathlib import Path
 from typing import Any
 
 import pytest
 
+from anisespool.cli.main import main
 from anisespool.lab import experiments, observe, reality, report
 from anisespool.lab.arrivals import plan
 from anisespool.lab.experiments import Case
@@ -149,3 +151,23 @@
     assert "src=" not in page and "@import" not in page and 'href="http' not in page
     assert ">kill" in page.replace("> kill", ">kill") and runs[1].name in page
     assert {row["class"] for row in observe.rows(runs[0].tally)} == {"look", "send-one"}
+
+
+def test_the_words_of_real_and_report(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    fine, vanishing = tmp_path / "fine.toml", tmp_path / "vanishing.toml"
+    fine.write_text("seconds = 1.0\nwarm_s = 0.5\n[traffic]\nper_s = 60.0\n")
+    vanishing.write_text('[[troubles]]\nkind = "vanish"\nat_s = 1.0\n')
+    page = str(tmp_path / "page.html")
+    for words, status, text in (
+        (["real", str(fine), "--json"], 0, '"late_ms"'),
+        (["real", str(vanishing)], 2, "found vanish, which loopback can't show"),
+        (["report", str(fine), "--file", page, "--json", "--with", "reality"], 0, '"run": "reality"'),
+        (["report", str(fine), "--file", page, "--with", "nobody"], 2, "no policy 'nobody'"),
+    ):
+        monkeypatch.setattr("sys.argv", ["anisespool", "lab", *words])
+        found = main()
+        out, err = capsys.readouterr()
+        assert (found, text in out + err) == (status, True), (words, out, err)
+    assert "reality: send-one" in Path(page).read_text()
