--- a/anisespool/lab/reality.py
+++ b/anisespool/lab/reality.py
@@ -11,7 +11,6 @@
 import asyncio
 import json
 import os
-import signal
 import sys
 import tempfile
 import time
@@ -29,7 +28,7 @@
 from anisespool.lab.backend import span_ns
 from anisespool.lab.observe import Look
 from anisespool.lab.scenario import MS, SECOND, Scenario, ScenarioError
-from anisespool.lab.served import HOST, zones
+from anisespool.lab.served import zones
 from anisespool.lab.tally import LONGEST_US, Tally, VoidError, Wish
 from anisespool.lab.troubles import struck
 from anisespool.standins import site
@@ -80,7 +79,8 @@
     ) -> None:
         self.number, self._folder = number, folder / f"n{number}"
         self._folder.mkdir()
-        self.address = Address(HOST, site.free_port())
+        self._held = site.hold_port()
+        self.address = Address(*self._held.getsockname())
         place = zones(scenario)
         raw = scenarios.raw_settings(scenario, number, place[number])
         kinds, zone_names = (
@@ -129,6 +129,15 @@
             await self.process.wait()
         await self.start()
 
+    async def end(self) -> None:
+        for _, writer in self.idle:
+            writer.close()
+        if self.process:
+            with suppress(ProcessLookupError):
+                self.process.kill()
+            await self.process.wait()
+        self._held.close()
+
     def cpu_s(self) -> float:
         """Of the process so far, user and system."""
         if self.process is None or self.process.returncode is not None:
@@ -336,10 +345,4 @@
 
 
 async def _end(sidecars: list[Sidecar]) -> None:
-    for sidecar in sidecars:
-        for _, writer in sidecar.idle:
-            writer.close()
-        if sidecar.process:
-            with suppress(ProcessLookupError):
-                sidecar.process.send_signal(signal.SIGKILL)
-            await sidecar.process.wait()
+    await asyncio.gather(*(sidecar.end() for sidecar in sidecars))
--- a/anisespool/standins/farm.py
+++ b/anisespool/standins/farm.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 from contextlib import suppress
 from pathlib import Path
@@ -31,13 +32,16 @@
         )
         self.sidecars: dict[str, asyncio.subprocess.Process] = {}
         self.addresses: dict[str, Address] = {}
+        self._held: dict[str, socket.socket] = {}  # ports, by sidecar
         self.agent: asyncio.subprocess.Process | None = None
 
     async def start_sidecar(self, name: str, of: int = 1, file: Path | None = None) -> None:
         """One process, once it listens. A name that had one before keeps its address."""
         place = self.folder / name
         place.mkdir(exist_ok=True)
-        address = self.addresses.get(name) or Address("127.0.0.1", site.free_port())
+        if name not in self._held:
+            self._held[name] = site.hold_port()
+        address = Address(*self._held[name].getsockname())
         listen = "{}:{}".format(*address)
         env = site.write_config(
             place, self.discovery, self.known, site.settings(fleet_size=of), listen=listen, name=name
@@ -96,3 +100,5 @@
                 process.send_signal(signal.SIGCONT)
                 process.kill()
         await asyncio.gather(*(process.wait() for process in processes))
+        for held in self._held.values():
+            held.close()
--- a/anisespool/standins/site.py
+++ b/anisespool/standins/site.py
@@ -21,6 +21,16 @@
         return int(sock.getsockname()[1])
 
 
+def hold_port() -> socket.socket:
+    """A port that is kept for a process to come: bound and never listening, it goes to nobody by chance,
+    while a listener that allows reuse, as asyncio's do, may take it. Danger: one that is only looked up is free
+    again at once, and of two hundred processes two would sometimes meet at one."""
+    held = socket.socket()
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    held.bind(("127.0.0.1", 0))
+    return held
+
+
 def member(endpoint_id: str, address: Address, phase: str = "up", **fields: Any) -> dict[str, Any]:
     entry: dict[str, Any] = {"id": endpoint_id, "host_port": f"{address.host}:{address.port}"}
     entry |= {"locality": "east", "flavor": "m1", "cell": 0}
