--- a/anisespool/standins/site.py
+++ b/anisespool/standins/site.py
@@ -23,8 +23,9 @@
 
 def hold_port() -> socket.socket:
     """A port that is kept for a process to come: bound and never listening, it goes to nobody by chance,
-    while a listener that allows reuse, as asyncio's do, may take it. Danger: one that is only looked up is free
-    again at once, and of two hundred processes two would sometimes meet at one."""
+    while a listener that allows reuse, as asyncio's do, may take it.
+
+    Danger: one that is only looked up is free again at once; of two hundred processes two may meet at one."""
     held = socket.socket()
     held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     held.bind(("127.0.0.1", 0))
