Plan a real run before its clock starts, and derive what stood twice

Reading the change again: the plan of all wishes was made after the run's first moment was set, so a long one would have been late by its own making; it is made before. Spans come from span_ns in the plan too, a report's columns from SHOWN, and a figure nobody read is gone.

--- a/anisespool/cli/lab.py
+++ b/anisespool/cli/lab.py
@@ -175,10 +175,8 @@
 ) -> None:  # fmt: skip
     """The scenario with real sidecars over loopback, beside the model. Exit 1 if a rule was broken."""
     title, made = _load(name, set_)
-    played, model = (
-        _played(title, made, seed, json_),
-        experiments.one(Case(title, made, "ours", seed)).figures,
-    )
+    played = _played(title, made, seed, json_)
+    model = experiments.one(Case(title, made, "ours", seed)).figures
     figures = played.tally.figures()
     table = show.table(f"{name}: {made.asks}", "figure", "model", "reality", "reality less model")
     for figure in (*SHOWN, "p50_ms", "p99_ms", "attempts", "tries"):
--- a/anisespool/lab/arrivals.py
+++ b/anisespool/lab/arrivals.py
@@ -10,6 +10,7 @@
 from itertools import accumulate
 from math import exp, log, sqrt
 
+from anisespool.lab.backend import span_ns
 from anisespool.lab.clock import Clock
 from anisespool.lab.scenario import MS, SECOND, Burst, Scenario
 from anisespool.lab.streams import Draws, Streams
@@ -80,8 +81,7 @@
 def plan(scenario: Scenario, seed: int) -> list[Wish]:
     """All wishes of a run, in order, as the model has them; times are from the first moment of the run."""
     clock, wishes = Clock(0), list[Wish]()
-    begin = int(scenario.warm_s * SECOND)
-    end = begin + int(scenario.seconds * SECOND)
+    begin, end = span_ns(scenario, 0)
     arrivals = Arrivals(scenario, Streams(seed).named("arrivals"), clock, (0, begin, end), wishes.append)
     arrivals.start()
     for trouble in scenario.troubles:
--- a/anisespool/lab/observe.py
+++ b/anisespool/lab/observe.py
@@ -65,10 +65,7 @@
     made = []
     for number, cls in enumerate(tally.scenario.classes):
         asked, latency = tally.asked[number], tally.latency[number]
-        shares = {
-            what: tally.ended[number, what] / max(1, asked)
-            for what in ("in_time", "late", "refused", "failed")
-        }
+        shares = {what: tally.ended[number, what] / max(1, asked) for what in SHOWN}
         times = {f"p{q:g}_ms": latency.get_value_at_percentile(q) / 1000 if latency.get_total_count() else 0.0
                  for q in (50, 90, 99, 99.9)}  # fmt: skip
         made.append({"class": cls.name, "asked": asked} | shares | times)
--- a/anisespool/lab/reality.py
+++ b/anisespool/lab/reality.py
@@ -83,11 +83,8 @@
         self.address = Address(*self._held.getsockname())
         place = zones(scenario)
         raw = scenarios.raw_settings(scenario, number, place[number])
-        kinds, zone_names = (
-            len(scenario.endpoints),
-            range(max(place + [g.zone for g in scenario.endpoints]) + 1),
-        )
-        raw |= {"zones": [f"z{n}" for n in zone_names], "skus": [f"m{n}" for n in range(kinds)],
+        kinds, most = len(scenario.endpoints), max(group.zone for group in scenario.endpoints)
+        raw |= {"zones": [f"z{n}" for n in range(most + 1)], "skus": [f"m{n}" for n in range(kinds)],
                 "tenants": [{"name": "all", "share": 1.0, "quota-per-s": 1e9}]}  # fmt: skip
         raw["allowed"]["keepalive-ns"] = 60 * SECOND
         discovery, members = found
@@ -179,9 +176,8 @@
 
     def __init__(self, scenario: Scenario, sidecars: list[Sidecar], first: int) -> None:
         self.scenario, self.sidecars = scenario, sidecars
-        begin, self.end = span_ns(scenario, first)
-        self.first, self.begin = first, begin
-        self.played = Played(Tally(scenario, begin), HdrHistogram(1, LONGEST_US, 3))
+        self.first, (self.begin, _) = first, span_ns(scenario, first)
+        self.played = Played(Tally(scenario, self.begin), HdrHistogram(1, LONGEST_US, 3))
         self.refused: list[int] = []  # wishes that ended so, of classes that may run once only
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -330,11 +326,12 @@
             sidecars = [Sidecar(n, Path(folder), scenario, told) for n, told in enumerate(found)]
             try:
                 await asyncio.gather(*(sidecar.start() for sidecar in sidecars))
+                wishes = plan(scenario, seed)  # before the clock starts: a long one takes its time
                 first = time.monotonic_ns() + LEAD_NS
                 _say(endpoints, str(first))
                 run = Run(scenario, sidecars, first)
                 run.restarts()
-                await run.run(plan(scenario, seed))
+                await run.run(wishes)
                 run.played.cpu_s = [sidecar.cpu_s() for sidecar in sidecars]
             finally:
                 await _end(sidecars)
