--- a/shuntlead/logic.py
+++ b/shuntlead/logic.py
@@ -14,6 +14,7 @@
 
 from shuntlead import interface as api
 from shuntlead.admission import STEP, STRAIN_ALPHA, Admission, Fleet, Open, Rate, SideBySide, look_open
+from shuntlead.cold import COLD_SHARE, Pressure, cap
 from shuntlead.interface import NEVER_RAN, Effect, EndpointState, RosterForm, Status
 
 ALPHA = 0.3  # weight of a new response time: the paper finds one sample enough, so a short memory
@@ -26,7 +27,6 @@
 PEERS = 4  # told the waits at a time, the first also of endpoints: one sidecar's waits are mostly chance
 PRICE_WAIT = 20.0  # a price of a whole request's worth weighs like waiting this many targets
 WARM_KEY = 0.6  # odds of the endpoint likely to have met a key, against those of all others together
-COLD_SHARE = 0.6  # part of the cold allowance planned for: traffic is uneven, estimates are rough
 RETRY_SHARE, RETRY_BURST = 0.2, 50.0  # re-sends per first attempt, and how many may be saved up
 PATIENCE = 4.0  # usual times that an attempt may take before another: lost answers against waste
 AMPLE = 3.0  # usual times that must then be left: a further attempt with less is no better than waiting on
@@ -40,7 +40,7 @@
 
 class Endpoint:
     __slots__ = ("row", "id", "zone", "kind", "weight", "ready", "out", "slow", "slow_at", "by_class",
-                 "queue", "queue_at", "since", "warm_at", "ramp", "cores", "shown")  # fmt: skip
+                 "queue", "queue_at", "since", "warm_at", "ramp", "cores", "shown", "pressure")  # fmt: skip
 
     def __init__(self, row: api.Listed, settings: api.Settings) -> None:
         self.out: dict[tuple[int, int], Attempt] = {}  # by request and number
@@ -51,6 +51,7 @@
         self.slow_at = self.queue_at = self.since = 0  # since: own sends since the last report
         self.warm_at = row.started_ns + settings.cold_ns if row.started_ns else 0
         self.ramp = 1.0  # part of its capacity that it is sure to have, while it is cold
+        self.pressure = Pressure(settings) if self.warm_at else None
         self.update(row)
 
     def update(self, row: api.Listed) -> None:
@@ -221,7 +222,7 @@
             if e.zone != s.zone:
                 w *= away
             odds.append(1 / max(w / gather if e is warm else w, 1e-9))
-        return odds, self._cap_cold(candidates, odds) if cold else 0.0
+        return odds, self._cap_cold(candidates, odds, usual) if cold else 0.0
 
     def _warm(self, key: int, candidates: list[Endpoint]) -> Endpoint | None:
         """The endpoint at which all sidecars of a zone gather a key, by highest-random-weight hashing."""
@@ -271,7 +272,7 @@
         tried = {a.endpoint.id for a in req.attempts}
         return ([e for e in ready if e.id not in tried] or ready) if tried else ready
 
-    def _cap_cold(self, candidates: list[Endpoint], odds: list[float]) -> float:
+    def _cap_cold(self, candidates: list[Endpoint], odds: list[float], usual: float = 1.0) -> float:
         """Danger: a cold endpoint sent too much falls over and stays down. Its share of a sidecar's draws is
         capped at a multiple of the part that it would bear were all alike, so the fleet's sum is capped too,
         however little each sends. A share of what is answered: sent, it may be any amount. Returns the odds
@@ -280,16 +281,10 @@
         # Danger: by what they can do while most are cold, each would bear a share of what the warm ones did.
         size = sum(e.weight for e in candidates) or 1.0
         sound = min(1.0, self.work.read(self.now) / (self.offered.read(self.now) or 1.0))
-        part, over, warm = total * COLD_SHARE * s.fall_multiple * sound / size, 0.0, []
-        for n, e in enumerate(candidates):
-            if self.now >= e.warm_at:
-                warm.append(n)
-            elif (excess := odds[n] - part * e.weight * e.ramp) > 0:
-                over, odds[n] = over + excess, odds[n] - excess
-        scale = 1 + over / (sum(odds[n] for n in warm) or 1.0)
-        for n in warm:
-            odds[n] *= scale  # so that the caps are shares of what is drawn
-        return 0.0 if warm else over
+        part = total * COLD_SHARE * s.fall_multiple * sound / size
+        return cap(odds, [None if self.now >= e.warm_at or not e.pressure else
+                          part * e.weight * e.ramp if e.pressure.allows(self.now, usual) else 0.0
+                          for e in candidates])  # fmt: skip
 
     def _on_request(self, event: api.Request) -> None:
         cls = self.settings.classes[event.cls]
@@ -376,6 +371,8 @@
         endpoint.out[req.id, len(req.attempts)] = attempt = Attempt(endpoint, self.now, usual)
         req.attempts.append(attempt)
         endpoint.since += 1
+        if endpoint.pressure:
+            endpoint.pressure.sent.add(self.now, usual)
         self.offered.add(self.now, usual)
 
     def _patience(self, req: Pending, usual: float) -> int:
@@ -437,6 +434,8 @@
             e.shown = min(self.side.by_side(req.event.cls, event.latency_ns, beside, e.shown), MOST_CORES)
             self._learn_class(req, event.latency_ns)
             self.work.add(self.now, attempt.usual)
+            if e.pressure:
+                e.pressure.answered.add(self.now, attempt.usual)
         if event.status is not Status.MOOT:
             self._learn_endpoint(req, attempt, event)
         if event.finished or req.done:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -14,6 +14,7 @@
 import pytest
 
 from shuntlead import interface as api
+from shuntlead.cold import Pressure
 from shuntlead.interface import EndpointState, RosterForm, Status
 from shuntlead.logic import Balancer, Pending
 from tests.support import MS, SECOND, Sidecar, finals, listed, quiet, sends, settings, timers
@@ -42,13 +43,13 @@
 def test_the_policy_files_together_stay_small() -> None:
     root = MODULE.parent.parent
     files = tomllib.loads((root / "deploy/balancer.toml").read_text())["policy"]
-    assert sorted(files) == ["shuntlead/admission.py", "shuntlead/logic.py"]
+    assert sorted(files) == ["shuntlead/admission.py", "shuntlead/cold.py", "shuntlead/logic.py"]
     lines = [line for file in files for line in (root / file).read_text().splitlines()]
     assert sum(bool(line.strip()) for line in lines) <= 1200
     assert max(map(len, lines)) <= 110
 
 
-@pytest.mark.parametrize("file", ["logic.py", "admission.py"])
+@pytest.mark.parametrize("file", ["logic.py", "admission.py", "cold.py"])
 def test_module_imports_only_the_interface_and_the_standard_library(file: str) -> None:
     imported = set()
     for node in ast.walk(ast.parse((MODULE.parent / file).read_text())):
@@ -57,7 +58,7 @@
         elif isinstance(node, ast.ImportFrom):
             imported.add(str(node.module))
     outside = {m for m in imported if m.split(".")[0] not in sys.stdlib_module_names}
-    assert outside <= {"shuntlead", "shuntlead.interface", "shuntlead.admission"}
+    assert outside <= {"shuntlead", *(f"shuntlead.{name}" for name in ("interface", "admission", "cold"))}
     assert not imported & {"time", "datetime", "os", "threading"}
 
 
@@ -558,6 +559,25 @@
     assert nowhere >= 0
 
 
+def test_a_cold_endpoint_is_sent_what_it_answers_whatever_is_held_or_turned_away() -> None:
+    """Danger: held requests draw again each 20 ms, and one that is turned away goes to the same one again."""
+    pressure, usual, sent, now = Pressure(Sidecar([listed(1)]).balancer.settings), 50.0 * MS, 0, SECOND
+    for _ in range(1500):  # a draw a ms, and nothing answers
+        if pressure.allows(now, usual):
+            pressure.sent.add(now, usual)
+            sent += 1
+        now += MS
+    assert 1 <= sent <= 6
+    for _ in range(2000):  # 20 answers a second
+        if now % (50 * MS) == 0:
+            pressure.answered.add(now, usual)
+        if pressure.allows(now, usual):
+            pressure.sent.add(now, usual)
+            sent += 1
+        now += MS
+    assert 40 <= sent <= 40 * pressure.bears + 10
+
+
 def test_sidecars_that_send_little_use_a_cold_endpoint_too() -> None:
     """Danger: a part of a request for each window is none at all, and replacements stand idle till warm."""
     hits = 0
