Keep membership's news in order in the lab, and keep its finds in the repository

Two faults of the model: a change told later could overtake an earlier one (a drain after the start that it was followed by, also when a lag ended), and a whole list after a wipe called drained and dead endpoints ready. Both stages now take their news from lab/news.py, as a watch has them.

--- a/anisespool/lab/endpoint.py
+++ b/anisespool/lab/endpoint.py
@@ -10,7 +10,7 @@
 
 from anisespool.lab.scenario import Endpoints, Rules
 from anisespool.lab.tally import Wish
-from shuntlead.interface import Status
+from shuntlead.interface import EndpointState, Status
 
 CHANCE = 1.1  # the platform's budget has "a little slack for chance"
 
@@ -55,6 +55,7 @@
     rules: Rules
     speed: float
     started: int = 0  # 0: long ago
+    listed: EndpointState = EndpointState.READY  # as the registry has it
     fallen: bool = False
     busy: int = 0
     connections: int = 0
--- a/anisespool/lab/served.py
+++ b/anisespool/lab/served.py
@@ -25,8 +25,9 @@
 from anisespool.lab.backend import Backend, hop_ns, span_ns
 from anisespool.lab.checker import RuleError
 from anisespool.lab.endpoint import Endpoint, Job
+from anisespool.lab.news import News, listed
 from anisespool.lab.observe import Observer, borne
-from anisespool.lab.scenario import MS, SECOND, Scenario
+from anisespool.lab.scenario import MS, Scenario
 from anisespool.lab.streams import Streams
 from anisespool.lab.tally import Wish
 from anisespool.lab.troubles import schedule
@@ -168,8 +169,8 @@
         self.clock: WallClock
         streams = self._streams = Streams(seed)
         super().__init__(scenario, streams, WallClock())
-        self._net, self._news = streams.named("network"), streams.named("membership")
-        self.begin, self.lag = 0, 1.0
+        self._net, self.news = streams.named("network"), News(scenario, streams.named("membership"))
+        self.begin = 0
         self.zones = zones(scenario)
         count = range(scenario.sidecars)
         self.doors = {(e.id, n): Door(self, e, n) for e in self.endpoints for n in count}
@@ -186,7 +187,7 @@
         """All doors, and a discovery for each sidecar."""
         await asyncio.gather(*(door.open() for door in self.doors.values()))
         for n in range(self.scenario.sidecars):
-            self.rosters.append(Roster([self._entry(e, n, EndpointState.READY) for e in self.endpoints]))
+            self.rosters.append(Roster([self._entry(e, n) for e in self.endpoints]))
             self.told[n] = {e.id: e.started for e in self.endpoints}
         return self.rosters
 
@@ -259,19 +260,22 @@
             self.doors[endpoint.id, n].drop(shut=endpoint.ails.dead)
 
     def tell(self, endpoint: Endpoint, state: EndpointState) -> None:
-        for n in range(self.scenario.sidecars):
+        endpoint.listed = state
+        for n, at, revision in self.news.change(self.clock.now):
             door = self.doors[endpoint.id, n]
             if state is EndpointState.READY and not door.is_open:
                 task = asyncio.get_running_loop().create_task(door.open())
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
-            delay = self._news.uniform(*self.scenario.membership.delay_s) * self.lag
-            entry = self._entry(endpoint, n, state)
-            self.clock.after(int(delay * SECOND), self._told, n, endpoint, state, endpoint.started, entry)
+            entry = self._entry(endpoint, n)
+            self.clock.at(at, self._told, n, revision, endpoint, state, endpoint.started, entry)
 
-    def _told(self, n: int, e: Endpoint, state: EndpointState, started: int, entry: dict[str, Any]) -> None:
-        self._note(n, e.id, state, started)
-        self.rosters[n].tell(entry)
+    def _told(
+        self, n: int, revision: int, e: Endpoint, state: EndpointState, started: int, entry: dict[str, Any]
+    ) -> None:
+        if self.news.takes(n, revision):
+            self._note(n, e.id, state, started)
+            self.rosters[n].tell(entry)
 
     def _note(self, n: int, endpoint: int, state: EndpointState, started: int) -> None:
         if state is EndpointState.READY:
@@ -282,19 +286,18 @@
 
     def tell_all(self, rows: bool) -> None:
         """The whole list, or (a registry that was wiped) an empty one."""
-        state = EndpointState.READY if rows else EndpointState.GONE
+        self.news.whole()
         for n, roster in enumerate(self.rosters):
             for e in self.endpoints:
-                self._note(n, e.id, state, e.started)
-            listed = [self._entry(e, n, EndpointState.READY) for e in self.endpoints] if rows else []
-            roster.tell_all(listed)
+                self._note(n, e.id, e.listed if rows else EndpointState.GONE, e.started)
+            roster.tell_all([self._entry(e, n) for e in listed(self.endpoints)] if rows else [])
 
-    def _entry(self, e: Endpoint, sidecar: int, state: EndpointState) -> dict[str, Any]:
+    def _entry(self, e: Endpoint, sidecar: int) -> dict[str, Any]:
         epoch_ns = time.time_ns() - time.monotonic_ns()
         since_ms = max(1, (e.started + epoch_ns) // MS) if e.started else 0
         nominal = self.scenario.membership.weights == "nominal"
         return member(
-            f"s-{e.id}", Address(HOST, self.doors[e.id, sidecar].port), PHASES[state],
+            f"s-{e.id}", Address(HOST, self.doors[e.id, sidecar].port), PHASES[e.listed],
             locality=f"z{e.spec.zone}", flavor=f"m{e.kind}", up_since_ms=since_ms,
             size=e.spec.cores * e.spec.speed if nominal else 1.0,
         )  # fmt: skip
--- a/anisespool/lab/troubles.py
+++ b/anisespool/lab/troubles.py
@@ -7,6 +7,7 @@
 
 from anisespool.lab.backend import Ticks
 from anisespool.lab.endpoint import Endpoint
+from anisespool.lab.news import News
 from anisespool.lab.scenario import SECOND, Scenario, Trouble
 from anisespool.lab.streams import Draws
 from shuntlead.interface import EndpointState
@@ -18,7 +19,7 @@
     scenario: Scenario
     begin: int  # when the scenario's own time starts, by its clock
     endpoints: list[Endpoint]
-    lag: float  # of membership's news, times
+    news: News
 
     @property
     def clock(self) -> Ticks: ...
@@ -67,7 +68,7 @@
     if trouble.kind == "traffic":
         world.set_rate(trouble.size if begins else 1.0)
     elif trouble.kind == "stale":
-        world.lag = trouble.size if begins else 1.0
+        world.news.lag = trouble.size if begins else 1.0
     elif trouble.kind == "wipe":
         world.tell_all(rows=not begins)
     elif begins:
--- a/anisespool/lab/world.py
+++ b/anisespool/lab/world.py
@@ -14,6 +14,7 @@
 from anisespool.lab.checker import Checker, RuleError, must
 from anisespool.lab.clock import Clock
 from anisespool.lab.endpoint import Endpoint, Job
+from anisespool.lab.news import News, listed
 from anisespool.lab.scenario import MS, SECOND, Scenario, settings
 from anisespool.lab.streams import Streams
 from anisespool.lab.tally import Tally, Wish
@@ -54,7 +55,7 @@
         self.seed, self._make = seed, module
         self.broken = ""
         self._log = hashlib.blake2b(digest_size=16) if logged else None
-        self._net, self._news = streams.named("network"), streams.named("membership")
+        self._net, self.news = streams.named("network"), News(scenario, streams.named("membership"))
         self.begin, self.end = span_ns(scenario, BEGIN)
         self.tally = Tally(scenario, self.begin)
         zones = sorted({e.spec.zone for e in self.endpoints})
@@ -62,8 +63,7 @@
         self.jobs: dict[tuple[int, int, int], Job] = {}
         span = (BEGIN, self.begin, self.end)
         self.arrivals = Arrivals(scenario, streams.named("arrivals"), self.clock, span, self._wished)
-        self.lag = 1.0  # of membership's news
-        self._requests = self._revision = 0
+        self._requests = 0
         self.sidecars = [
             Sidecar(n, zones[n % len(zones)], settings(scenario, n, zones[n % len(zones)]))
             for n in range(scenario.sidecars)
@@ -93,8 +93,8 @@
         seed = self.seed * 1_000_003 + sidecar.number * 101 + sidecar.life
         sidecar.module = self._make(sidecar.settings, seed, self)
         sidecar.idle, sidecar.life = {}, sidecar.life + 1
-        rows = tuple(self._row(e) for e in self.endpoints)
-        self.handle(sidecar, api.Roster(1, RosterForm.CACHED, rows))
+        revision = self.news.begins(sidecar.number, self.clock.now)
+        self.handle(sidecar, api.Roster(revision, RosterForm.CACHED, self._rows()))
 
     def log(self, *words: object) -> None:
         """A line of the run's own log; its digest tells two runs apart."""
@@ -285,33 +285,34 @@
 
     # Membership -----------------------------------------------------------------------------------
 
-    def _row(self, e: Endpoint, state: EndpointState = EndpointState.READY) -> api.Listed:
+    def _row(self, e: Endpoint) -> api.Listed:
         nominal = self.scenario.membership.weights == "nominal"
         weight = e.spec.cores * e.spec.speed if nominal else 1.0
-        return api.Listed(e.id, weight, 0, e.kind, e.spec.zone, state, e.started)
+        return api.Listed(e.id, weight, 0, e.kind, e.spec.zone, e.listed, e.started)
+
+    def _rows(self) -> tuple[api.Listed, ...]:
+        return tuple(map(self._row, listed(self.endpoints)))
 
     def tell(self, endpoint: Endpoint, state: EndpointState) -> None:
         """A change reaches every sidecar in its own time."""
-        self._revision += 1
-        event = api.Roster(1 + self._revision, RosterForm.DELTA, (self._row(endpoint, state),))
-        for sidecar in self.sidecars:
-            low, high = self.scenario.membership.delay_s
-            delay = int(self._news.uniform(low, high) * self.lag * SECOND)
-            self.clock.after(delay, self._told, sidecar, sidecar.life, event)
+        endpoint.listed = state
+        row = self._row(endpoint)
+        for number, at, revision in self.news.change(self.clock.now):
+            event = api.Roster(revision, RosterForm.DELTA, (row,))
+            sidecar = self.sidecars[number]
+            self.clock.at(at, self._told, sidecar, sidecar.life, event)
 
     def tell_all(self, rows: bool) -> None:
         """The whole list, or (a registry that was wiped) an empty one."""
-        self._revision += 1
-        listed = tuple(self._row(e) for e in self.endpoints) if rows else ()
+        event = api.Roster(self.news.whole(), RosterForm.FULL, self._rows() if rows else ())
         for sidecar in self.sidecars:
-            self._told(sidecar, sidecar.life, api.Roster(1 + self._revision, RosterForm.FULL, listed))
+            self.handle(sidecar, event)
 
     def _told(self, sidecar: Sidecar, life: int, event: api.Roster) -> None:
-        if sidecar.life == life:
-            if event.form is RosterForm.DELTA:
-                for row in event.entries:  # a new process: connections to the old one are gone
-                    if row.state != EndpointState.READY or row.started_ns:
-                        sidecar.idle.pop(row.endpoint, None)
+        if sidecar.life == life and self.news.takes(sidecar.number, event.version):
+            for row in event.entries:  # a new process: connections to the old one are gone
+                if row.state != EndpointState.READY or row.started_ns:
+                    sidecar.idle.pop(row.endpoint, None)
             self.handle(sidecar, event)
 
     def lose(self, endpoint: Endpoint) -> None:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -17,10 +17,12 @@
 from anisespool.lab.breaks import BREAKS
 from anisespool.lab.clock import Clock
 from anisespool.lab.experiments import Case, difference, many
+from anisespool.lab.news import News
 from anisespool.lab.policies import POLICIES
 from anisespool.lab.results import Results
-from anisespool.lab.scenario import ScenarioError, from_raw
+from anisespool.lab.scenario import SECOND, ScenarioError, from_raw
 from anisespool.lab.search import load, search, shrink
+from anisespool.lab.streams import Streams
 from anisespool.lab.tally import VoidError
 from anisespool.lab.world import World
 
@@ -225,6 +227,24 @@
     assert load(tmp_path / "find.json") == found
 
 
+def test_news_come_in_order_and_a_whole_list_has_those_before_it() -> None:
+    """A sidecar that heard of a start before the drain would never use the endpoint again."""
+    made, draws = troubled(sidecars=1, membership={"delay_s": [0.0, 0.0]}), Streams(1).named("membership")
+    news = News(made, draws)
+    news.lag = 40.0
+    news._delay_s = (1.0, 1.0)
+    ((_, slow, first),) = news.change(0)
+    news.lag = 1.0
+    ((_, soon, second),) = news.change(0)
+    assert slow == soon == 40 * SECOND and news.takes(0, first) and news.takes(0, second)
+    ((_, _, late),) = news.change(0)
+    assert news.whole() > late and not news.takes(0, late)
+
+
+def test_finds_are_kept_for_ci_to_replay() -> None:
+    assert len(list(FOUND.glob("*.json"))) >= 5
+
+
 @pytest.mark.parametrize("path", sorted(FOUND.glob("*.json")), ids=lambda path: path.stem)
 def test_what_was_found_once_stays_mended(path: Path) -> None:
     found = load(path)
