--- a/anisespool/lab/reality.py
+++ b/anisespool/lab/reality.py
@@ -49,6 +49,7 @@
 
     tally: Tally
     lateness: HdrHistogram  # microseconds, of the sends
+    refusals: HdrHistogram  # microseconds until a try was refused
     broken: str = ""  # the first rule that was broken
     cpu_s: list[float] = field(default_factory=list)  # of each sidecar
     borne: list[float] = field(default_factory=list)  # by endpoint, share of its cores' time
@@ -75,9 +76,10 @@
     """One process, and the connections of its client."""
 
     def __init__(
-        self, number: int, folder: Path, scenario: Scenario, found: tuple[list[Any], list[Any]]
-    ) -> None:
-        self.number, self._folder = number, folder / f"n{number}"
+        self, number: int, folder: Path, scenario: Scenario, found: tuple[list[Any], list[Any]],
+        source: Path | None = None,
+    ) -> None:  # fmt: skip
+        self.number, self._folder, self._source = number, folder / f"n{number}", source
         self._folder.mkdir()
         self._held = site.hold_port()
         self.address = Address(*self._held.getsockname())
@@ -99,7 +101,7 @@
     async def start(self) -> None:
         with (self._folder / "log").open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "anisespool", env=os.environ | self._env, stderr=log
+                sys.executable, "-m", "anisespool", env=os.environ | self._env, stderr=log, cwd=self._source
             )
         async with asyncio.timeout(READY_S):
             while not await self._ready():
@@ -177,7 +179,8 @@
     def __init__(self, scenario: Scenario, sidecars: list[Sidecar], first: int) -> None:
         self.scenario, self.sidecars = scenario, sidecars
         self.first, (self.begin, _) = first, span_ns(scenario, first)
-        self.played = Played(Tally(scenario, self.begin), HdrHistogram(1, LONGEST_US, 3))
+        late, refusals = HdrHistogram(1, LONGEST_US, 3), HdrHistogram(1, LONGEST_US, 3)
+        self.played = Played(Tally(scenario, self.begin), late, refusals)
         self.refused: list[int] = []  # wishes that ended so, of classes that may run once only
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -246,6 +249,8 @@
             tally.end(wish, now, "served")
             return None
         refused = status in (429, 503)
+        if refused:
+            self.played.refusals.record_value(max(1, (now - began) // 1000))
         if refused and wish.told[1]:
             tally.honest[False] += 1
         wish.told = (now, int(wait_s * SECOND)) if refused else wish.told
@@ -318,12 +323,13 @@
     return json.loads(line)
 
 
-async def play(scenario: Scenario, seed: int) -> Played:
-    """One run in real time. VoidError if it says nothing."""
+async def play(scenario: Scenario, seed: int, source: Path | None = None) -> Played:
+    """One run in real time; `source`: the root of another checkout, for its sidecars. VoidError if it says
+    nothing."""
     with tempfile.TemporaryDirectory() as folder:
         async with _endpoints(scenario, seed) as endpoints:
             found = await _hear(endpoints)
-            sidecars = [Sidecar(n, Path(folder), scenario, told) for n, told in enumerate(found)]
+            sidecars = [Sidecar(n, Path(folder), scenario, told, source) for n, told in enumerate(found)]
             try:
                 await asyncio.gather(*(sidecar.start() for sidecar in sidecars))
                 wishes = plan(scenario, seed)  # before the clock starts: a long one takes its time
