Write each request's path as an RFC 5424 record, bounded and accounted for

Sampling changes live through the control socket. Off without [records] in the operator's file: nothing of it is loaded then. The core with counters moves to core/observed.py, as records stand on it too.

--- a/anisespool/backs/attempt.py
+++ b/anisespool/backs/attempt.py
@@ -26,8 +26,10 @@
 class Attempt:
     """One try of a request at one endpoint, from the Send until its one status."""
 
-    __slots__ = ("_timer", "connection", "deadline_ns", "endpoint", "load", "number", "on_end", "request",
-                 "request_id", "response", "started_ns", "status")  # fmt: skip
+    __slots__ = ("_timer", "connection", "deadline_ns", "ended_ns", "endpoint", "load", "number", "on_end",
+                 "request", "request_id", "response", "started_ns", "status")  # fmt: skip
+
+    ended_ns: int  # where records are kept
 
     def __init__(self, request_id: int, number: int, endpoint: int, request: http1.Request, deadline_ns: int,
                  on_end: Callable[[Attempt], None]) -> None:  # fmt: skip
--- a/anisespool/config/operator.py
+++ b/anisespool/config/operator.py
@@ -8,10 +8,11 @@
 from __future__ import annotations
 
 import hashlib
+import ipaddress
 import re
 import tomllib
 from pathlib import Path
-from typing import Annotated, Any, TypeVar
+from typing import Annotated, Any, Literal, TypeVar
 
 import msgspec
 from msgspec import Meta
@@ -59,6 +60,67 @@
     share: Annotated[float, Meta(gt=0, le=1)]
 
 
+SHARE = Annotated[float, Meta(ge=0, le=1)]
+
+
+class ClassSampling(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Of one class, in place of the section's own."""
+
+    served: SHARE | None = None
+    gone: SHARE | None = None
+    rejected: SHARE | None = None
+
+
+class Sampling(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Which shares of the records are written. Of the refused and the failed all are, always."""
+
+    served: SHARE = 1.0
+    gone: SHARE = 1.0  # its client went away
+    rejected: SHARE = 1.0  # by the front, unread or for what there isn't
+    classes: Annotated[dict[NAME, ClassSampling], Meta(max_length=1000)] = {}
+
+
+class Records(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Each request's path as a syslog record. Off without the section."""
+
+    to: NAME  # udp://IP:PORT, tcp://IP:PORT, tls://IP:PORT or unix:///PATH
+    framing: Literal["octets", "newline"] = "octets"  # of tcp; tls has octets always
+    enterprise: Annotated[str, Meta(pattern=r"^[0-9]{1,10}(\.[0-9]{1,10}){0,3}\Z")] = "32473"
+    facility: Annotated[int, Meta(ge=0, le=23)] = 16
+    host: Annotated[str, Meta(max_length=255)] | None = None  # none: the machine's
+    app: Annotated[str, Meta(min_length=1, max_length=48)] = "anisespool"
+    most_bytes: Annotated[int, Meta(ge=4096, le=2**30)] = 2**20  # that wait
+    most_records: Annotated[int, Meta(ge=1, le=10**7)] = 4096
+    goes: Literal["served", "oldest", "newest"] = "served"  # when there is no room
+    longest: Annotated[int, Meta(ge=480, le=65_000)] = 2048  # octets of a record
+    longest_value: Annotated[int, Meta(ge=16, le=65_000)] = 256
+    flush_ms: Annotated[float, Meta(ge=0, le=10_000)] = 50.0  # records wait so long for others to go with
+    last_s: Annotated[float, Meta(ge=0, le=10)] = 0.5  # after the last answer, for what waits
+    doubt_bytes: Annotated[int, Meta(ge=0, le=2**26)] = (
+        2**18
+    )  # last octets of a lost connection that are unsure
+    ca: NAME | None = None  # the three and `name`: of tls
+    certificate: NAME | None = None
+    key: NAME | None = None
+    name: NAME | None = None  # in the receiver's certificate; none: its address
+
+    @property
+    def is_stream(self) -> bool:
+        return self.to.startswith(("tcp:", "tls:"))
+
+    @property
+    def target(self) -> tuple[str, Address | str]:
+        """Scheme, and address or path. ValueError if it is none of these."""
+        scheme, _, place = self.to.partition("://")
+        if scheme == "unix" and place.startswith("/") and len(place.encode()) <= 107:
+            return scheme, place
+        if scheme not in ("udp", "tcp", "tls"):
+            raise ValueError(scheme)
+        address = Address.parse(place)
+        ipaddress.IPv4Address(address.host)  # a name would have to be looked up, at any moment
+        return scheme, address
+
+
 Members = Annotated[dict[NAME, Member], Meta(max_length=10_000)]
 
 
@@ -70,6 +132,7 @@
     connections: Connections | None = None
     discovery: Discovery | None = None
     members: Members | None = None
+    sampling: Sampling | None = None
 
 
 class Agent(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -102,6 +165,8 @@
     connections: Connections = Connections()
     discovery: Discovery = Discovery()
     members: Members = {}
+    records: Records | None = None
+    sampling: Sampling = Sampling()
 
     def with_document(self, document: Document) -> OperatorFile:
         """This file with a document's sections in place of its own."""
@@ -122,6 +187,14 @@
     return from_raw(parse_toml(data, path), path)
 
 
+def check_classes(file: OperatorFile, classes: list[str], source: str) -> None:
+    """ConfigError for shares of a class that the platform doesn't have."""
+    for name in file.sampling.classes:
+        if name not in classes:
+            text = f"found no such class, wanted one of {', '.join(classes)}"
+            raise ConfigError(f"{source}: sampling.classes.{name}: {text}"[:400])
+
+
 def parse_toml(data: bytes, path: str) -> dict[str, Any]:
     """TOML to its tables, or a ConfigError that names the file and the line."""
     if len(data) > MOST_BYTES:
@@ -197,6 +270,22 @@
         raise ConfigError(f"{path}: endpoints.drained: found an id twice, wanted each once")
     if file.discovery.address is not None:
         _check_address(file.discovery.address, "discovery.address", path)
+    if file.records:
+        _check_records(file.records, path)
+
+
+def _check_records(records: Records, path: str) -> None:
+    try:
+        scheme, _ = records.target
+    except ValueError:
+        wanted = "udp://, tcp:// or tls:// with IP:PORT, or unix:///PATH"
+        raise ConfigError(f"{path}: records.to: found {_shown(records.to)}, wanted {wanted}") from None
+    if scheme == "tls" and records.ca is None:
+        raise ConfigError(f"{path}: records.ca: found nothing, wanted the file that verifies the receiver")
+    if scheme == "tls" and records.framing != "octets":
+        raise ConfigError(f"{path}: records.framing: found newline, wanted octets: TLS has no other")
+    if (records.certificate is None) is not (records.key is None):
+        raise ConfigError(f"{path}: records.key: found certificate or key alone, wanted both or none")
 
 
 def _check_address(value: str, key: str, path: str) -> None:
--- a/anisespool/control/desk.py
+++ b/anisespool/control/desk.py
@@ -13,8 +13,8 @@
 from anisespool.config import operator
 from anisespool.config.operator import Document, OperatorFile
 from anisespool.config.platform import Address, Config, ConfigError
-from anisespool.control.observed import ObservedSidecar
 from anisespool.control.server import Body, Refusal, Verb
+from anisespool.core.observed import ObservedSidecar
 from anisespool.core.steering import Steering
 from anisespool.rules.drains import leaves_none
 from anisespool.rules.generations import Held, Judgement, Offer, explain, judge
@@ -187,6 +187,7 @@
             made = operator.document(content, "document")
             file = self._file.with_document(made)
             self._members_of(file, "document")
+            operator.check_classes(file, list(self._config.names.classes), "document")
         except ConfigError as error:
             raise Refusal(400, "invalid", str(error)) from None
         return made, file
@@ -221,6 +222,7 @@
             connections.idle_per_endpoint, connections.rest_ms / 1e3, timeout / 1e3 if timeout else None
         )
         self._steering.tune(connections.client_kept_s)
+        self._steering.sample(self._now.sampling)
         address = self._now.discovery.address
         self._steering.watch_at(Address.parse(address) if address else None)
         shares = {n: tenant.share for n, tenant in enumerate(given)} | self._members_of(self._now, "document")
--- a/anisespool/core/sidecar.py
+++ b/anisespool/core/sidecar.py
@@ -28,7 +28,9 @@
 class Exchange:
     """A request from its arrival until its last attempt has ended."""
 
-    __slots__ = ("attempts", "backstop", "call", "deadline_ns", "reply")
+    __slots__ = ("attempts", "backstop", "call", "deadline_ns", "over", "reply")
+
+    over: tuple[int, int, float]  # where records are kept: status, when (ns), the time told to come back (s)
 
     def __init__(self, call: Call, deadline_ns: int, reply: Callable[[Answer], None]) -> None:
         self.call, self.deadline_ns = call, deadline_ns
--- a/anisespool/core/steering.py
+++ b/anisespool/core/steering.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from anisespool.config.platform import Address
 
+if TYPE_CHECKING:
+    from anisespool.config.operator import Sampling
+
 
 class Steering(Protocol):
     @property
@@ -21,5 +24,8 @@
     def tune(self, client_kept_s: float) -> None:
         """How long a client's connection may rest after an answer."""
 
+    def sample(self, sampling: Sampling) -> None:
+        """Which records are written from now on."""
+
     def watch_at(self, address: Address | None) -> None:
         """Watch the list there; none: where the platform says."""
--- a/anisespool/fronts/http1.py
+++ b/anisespool/fronts/http1.py
@@ -10,6 +10,7 @@
 import sys
 import time
 from collections import deque
+from collections.abc import Callable
 from http import HTTPStatus
 from itertools import chain, islice
 from urllib.parse import unquote_to_bytes
@@ -193,13 +194,14 @@
             return
         if self._server.crowded:
             self._keep_alive = False
-            self._answer(Answer(503, b"too many connections\n"))
+            self._server.tell_rejected(crowd := Answer(503, b"too many connections\n"), request)
+            self._answer(crowd)
             return
         try:
             call = read_call(request, self._server.names, self._server.settings)
             self._take_trace_id(request.headers[b"x-trace-id"])
         except BadCall as error:
-            self._reject(Answer(error.status, f"{error}\n".encode()))
+            self._reject(Answer(error.status, f"{error}\n".encode()), request)
             return
         waited_ns = time.monotonic_ns() - came_ns  # behind others that the client sent ahead of it
         call = call._replace(left_ns=max(0, call.left_ns - waited_ns)) if waited_ns > READ_NS else call
@@ -246,11 +248,12 @@
         self._sent_away = True
         return False
 
-    def _reject(self, answer: Answer) -> None:
+    def _reject(self, answer: Answer, request: http1.Request | None = None) -> None:
         """An error, and the end of the connection: kept, it would bring the same again at once. Danger:
         closing with input unread resets it, and the client never reads the answer. So end our side, and
         wait for the client's end a little."""
         self._busy, self._closing = False, True
+        self._server.tell_rejected(answer, request)
         self._queue.clear()
         self._server.rest(self)
         if self._transport:
@@ -306,6 +309,7 @@
         self.stopping = False
         self.kept_s = KEPT_S
         self.open_ids: set[bytes] = set()  # trace ids of the requests being worked on
+        self.on_reject: Callable[[Answer, http1.Request | None], None] | None = None
         self._working: set[ClientConnection] = set()
         # With no request open, in the order in which they fell quiet: new ones, and those served before.
         self._unproven: dict[ClientConnection, None] = {}
@@ -323,6 +327,11 @@
     def _count(self) -> int:
         return len(self._unproven) + len(self._kept) + len(self._working) + self._arriving
 
+    def tell_rejected(self, answer: Answer, request: http1.Request | None) -> None:
+        """An answer of the front's own, which the core never hears of."""
+        if self.on_reject:
+            self.on_reject(answer, request)
+
     def counted(self) -> dict[str, int]:
         return {"open": self._count, "working": len(self._working)}
 
--- a/anisespool/instance.py
+++ b/anisespool/instance.py
@@ -18,7 +18,8 @@
 from shuntlead.interface import RosterForm
 
 if TYPE_CHECKING:
-    from anisespool.config.operator import OperatorFile
+    from anisespool.config.operator import OperatorFile, Sampling
+    from anisespool.records.recorder import Recorder
 
 ACCEPT_S = 0.5  # after SIGTERM: new connections go on coming for up to 0.4 s
 LAST_S = 4.0  # then nothing taken can still be in time
@@ -45,8 +46,10 @@
     """Steering (core/steering.py) of this process."""
 
     def __init__(
-        self, config: Config, signals: Signals, sidecar: Sidecar, server: Server, watch: Watch
-    ) -> None:
+        self, config: Config, signals: Signals, sidecar: Sidecar, server: Server, watch: Watch,
+        recorder: Recorder | None = None,
+    ) -> None:  # fmt: skip
+        self._recorder = recorder
         self._signals, self._sidecar, self._server, self._watch = signals, sidecar, server, watch
         self._platform = config.discovery
         self._operator: Address | None = None
@@ -66,6 +69,10 @@
     def tune(self, client_kept_s: float) -> None:
         self._server.kept_s = client_kept_s
 
+    def sample(self, sampling: Sampling) -> None:
+        if self._recorder:
+            self._recorder.sample(sampling)
+
     def watch_at(self, address: Address | None) -> None:
         self._operator = address
         self._watch.move(address or self._platform)
@@ -89,11 +96,13 @@
     endpoints = Endpoints(
         settings.report_columns, settings.connect_timeout_ns, config.keepalive_ns, sockets - most
     )
-    sidecar = _core(config, endpoints, file)
+    recorder = _recorder(config, file) if file and file.records else None
+    sidecar = _core(config, endpoints, file, recorder)
     sidecar.listed(config.known, RosterForm.CACHED)
     watch = Watch(config.discovery, config.names, config.known.revision, sidecar.listed)
     server = Server(sidecar, config.names, settings, most, config.sockets)
-    helm = Helm(config, signals, sidecar, server, watch)
+    server.on_reject = recorder.rejected if recorder else None
+    helm = Helm(config, signals, sidecar, server, watch, recorder)
     tasks = [loop.create_task(watch.run()), loop.create_task(endpoints.sweep())]
     tasks.append(loop.create_task(_reload(config.path, helm, signals.reload)))
     tasks.append(loop.create_task(server.sweep()))
@@ -114,12 +123,31 @@
     finally:
         for task in tasks:
             task.cancel()
+        if recorder:
+            await recorder.end()
+
+
+def _recorder(config: Config, file: OperatorFile) -> Recorder:
+    from anisespool.config.operator import check_classes
+    from anisespool.records.recorder import opener, recorder_of
 
+    assert file.records
+    check_classes(file, list(config.names.classes), "the operator's file")
+    recorder = recorder_of(file.records, file.sampling, config)
+    recorder.start(opener(file.records))
+    return recorder
 
-def _core(config: Config, endpoints: Endpoints, file: OperatorFile | None) -> Sidecar:
+
+def _core(
+    config: Config, endpoints: Endpoints, file: OperatorFile | None, recorder: Recorder | None
+) -> Sidecar:
     if file is None:
         return Sidecar(config, endpoints)
-    from anisespool.control.observed import ObservedSidecar
+    if recorder:
+        from anisespool.records.recorder import RecordedSidecar
+
+        return RecordedSidecar(config, endpoints, recorder)
+    from anisespool.core.observed import ObservedSidecar
 
     return ObservedSidecar(config, endpoints)
 
@@ -127,9 +155,9 @@
 def _operate(config: Config, file: OperatorFile, sidecar: Sidecar, helm: Helm) -> list[asyncio.Task[None]]:
     """What the operator's file asks for; without one nothing of it is even loaded."""
     from anisespool.control.desk import Desk
-    from anisespool.control.observed import ObservedSidecar
     from anisespool.control.place import prepare
     from anisespool.control.server import serve
+    from anisespool.core.observed import ObservedSidecar
 
     assert isinstance(sidecar, ObservedSidecar)
     desk = Desk(config, file, sidecar, helm)
--- /dev/null
+++ b/anisespool/records/recorder.py
@@ -0,0 +1,202 @@
+"""One instance's records: the core that notes how requests ended, and what becomes of its notes."""
+
+from __future__ import annotations
+
+import os
+import socket
+import time
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable
+from functools import partial
+from pathlib import Path as FilePath
+from random import Random
+from zlib import crc32
+
+from anisespool.backs.attempt import Attempt
+from anisespool.config.operator import ClassSampling, Records
+from anisespool.config.operator import Sampling as SamplingFile
+from anisespool.config.platform import Address, Config, ConfigError, MemberList
+from anisespool.core.call import Answer, Call
+from anisespool.core.observed import ObservedSidecar
+from anisespool.core.sidecar import ANSWER_RESERVE_NS, Exchange
+from anisespool.records import channels
+from anisespool.records.form import Form, Path, Try
+from anisespool.records.sender import Sender
+from anisespool.rules.recording import (
+    FAILED,
+    GONE,
+    REFUSED,
+    REJECTED,
+    SERVED,
+    Account,
+    Backlog,
+    Goes,
+    Sampling,
+    Waiting,
+)
+from anisespool.wire import http1
+from anisespool.wire.rfc5424 import Origin, by_newline, by_octets
+from shuntlead.interface import RosterForm
+
+ENDS = {200: SERVED, 503: REFUSED, 0: GONE}  # any other answer: failed
+GONE_KEPT = 1024  # names of endpoints that are no longer listed: attempts there may still be open
+
+
+class Recorder:
+    """Takes paths of requests. Never waits, and never grows past its bounds."""
+
+    def __init__(
+        self, form: Form, options: Records, sampling: Sampling, classes: tuple[str, ...] = (),
+        clock: Callable[[], int] = time.time_ns,
+    ) -> None:  # fmt: skip
+        self._classes = classes
+        self.account = Account()
+        self.backlog = Backlog(options.most_bytes, options.most_records, Goes(options.goes))
+        self._form, self._clock, self.sampling = form, clock, sampling
+        self._number = 0
+        self._wake: Callable[[], None] = lambda: None
+        self._options = options
+        self.sender: Sender | None = None
+
+    def start(self, open_: Callable[[], Awaitable[channels.Channel]]) -> None:
+        """From now on what waits is sent."""
+        o = self._options
+        frame = (
+            {"octets": by_octets, "newline": by_newline}.get(o.framing, by_octets) if o.is_stream else bytes
+        )
+        self.sender = Sender(self.backlog, self.account, self._form, open_, frame, o.doubt_bytes,
+                             o.flush_ms / 1e3, Random())  # fmt: skip
+        self._wake = self.sender.wake
+
+    def sample(self, file: SamplingFile) -> None:
+        """From the next record on."""
+        self.sampling = sampling_of(file, self._classes)
+
+    def take(self, path: Path) -> None:
+        """A request is over."""
+        outcome = path.outcome
+        self.account.answered[outcome] += 1
+        if not self.sampling.keeps(path.cls, outcome, path.trace):
+            self.account.unchosen[outcome] += 1
+            return
+        self._number += 1
+        now = self._clock()
+        self.backlog.put(Waiting(self._number, outcome, now, self._form.path(self._number, path, now)))
+        self._wake()
+
+    def rejected(self, answer: Answer, request: http1.Request | None) -> None:
+        """The front turned it away by itself: it can't be read, or asks for what there isn't."""
+        headers, now = request.headers if request else {}, time.monotonic_ns()
+        trace, member = headers.get(b"x-trace-id", b""), headers.get(b"x-customer", b"")
+        alike = crc32(request.target, crc32(member)) if request else 0
+        retry = headers.get(b"x-second-try") == b"1"
+        self.take(Path(-1, REJECTED, answer.status, trace, member, alike, retry, now, now, 0.0, ()))
+
+    async def end(self) -> None:
+        if self.sender:
+            await self.sender.end(self._options.last_s)
+
+
+class RecordedSidecar(ObservedSidecar):
+    """The core that tells a recorder of each request once its last attempt has ended."""
+
+    def __init__(self, config: Config, backs: object, recorder: Recorder) -> None:
+        super().__init__(config, backs)
+        self._recorder = recorder
+        self._names: dict[int, str] = {}
+        self._gone: OrderedDict[int, str] = OrderedDict()
+
+    def _answer(self, exchange: Exchange, answer: Answer) -> None:
+        if exchange.reply:
+            exchange.over = answer.status, time.monotonic_ns(), answer.retry_after_s
+        super()._answer(exchange, answer)
+
+    def client_gone(self, request_id: int) -> None:
+        exchange = self._exchanges.get(request_id)
+        if exchange and exchange.reply:
+            exchange.over = 0, time.monotonic_ns(), 0.0
+        super().client_gone(request_id)
+
+    def _ended(self, attempt: Attempt) -> None:
+        attempt.ended_ns = time.monotonic_ns()
+        super()._ended(attempt)
+
+    def _forget(self, request_id: int) -> None:
+        exchange = self._exchanges.get(request_id)
+        super()._forget(request_id)
+        if exchange and request_id not in self._exchanges:
+            self._recorder.take(self._path(exchange))
+
+    def _path(self, exchange: Exchange) -> Path:
+        call, (status, ended, back_s) = exchange.call, exchange.over
+        tries = tuple(
+            Try(self._name(a.endpoint), a.status or 0, a.started_ns, a.ended_ns) for a in exchange.attempts
+        )
+        headers, came = call.request.headers, exchange.deadline_ns - max(0, call.left_ns - ANSWER_RESERVE_NS)
+        trace, member = headers.get(b"x-trace-id", b""), headers.get(b"x-customer", b"")
+        return Path(call.cls, ENDS.get(status, FAILED), status, trace, member, _alike(call, member),
+                    call.is_retry, came, ended, back_s, tries)  # fmt: skip
+
+    def _name(self, number: int) -> str:
+        return self._names.get(number) or self._gone.get(number) or f"number {number}"
+
+    def listed(self, update: MemberList, form: RosterForm | None = None) -> None:
+        super().listed(update, form)
+        self._names.update(
+            (number, name) for name, number in self._numbers.items() if number not in self._names
+        )
+
+    def _drop(self, member_id: str) -> None:
+        number = self._numbers[member_id]
+        super()._drop(member_id)
+        self._names.pop(number, None)
+        self._gone[number] = member_id
+        if len(self._gone) > GONE_KEPT:
+            self._gone.popitem(last=False)
+
+
+def _alike(call: Call, member: bytes) -> int:
+    """The same for all tries of one wish: clients give each a trace id of its own."""
+    request = call.request
+    return crc32(request.headers.get(b"idempotency-key", b""), crc32(request.target, crc32(member)))
+
+
+def sampling_of(file: SamplingFile, names: tuple[str, ...]) -> Sampling:
+    """`names`: of all classes."""
+
+    def given(shares: SamplingFile | ClassSampling) -> dict[str, float]:
+        own = {"served": shares.served, "gone": shares.gone, "rejected": shares.rejected}
+        return {outcome: share for outcome, share in own.items() if share is not None}
+
+    return Sampling(given(file), {name: given(own) for name, own in file.classes.items()}, list(names))
+
+
+def recorder_of(options: Records, sampling: SamplingFile, config: Config) -> Recorder:
+    """What an instance's file asks for. ConfigError where it can't be had."""
+    o, classes = options, tuple(config.names.classes)
+    origin = Origin(o.facility, o.host or socket.gethostname(), o.app, str(os.getpid()))
+    try:
+        form = Form.make(origin, o.enterprise, config.name, classes, o.longest, o.longest_value)
+    except ValueError as error:
+        raise ConfigError(f"records.{error}") from None
+    return Recorder(form, options, sampling_of(sampling, classes), classes)
+
+
+def opener(options: Records) -> Callable[[], Awaitable[channels.Channel]]:
+    """How a channel to the receiver is opened. ConfigError for a wrong certificate."""
+    scheme, place = options.target
+    if scheme == "tls":
+        assert options.ca and isinstance(place, Address)
+        try:
+            settings = channels.tls(options.ca, options.name or place.host, options.certificate, options.key)
+        except OSError as error:
+            raise ConfigError(f"records.ca, certificate, key: {error}") from None
+        return partial(channels.TlsStream.over, place, settings)
+    if scheme == "tcp":
+        assert isinstance(place, Address)
+        return partial(channels.Stream.open, place)
+
+    async def datagrams() -> channels.Channel:
+        return channels.Datagrams.open(FilePath(place) if isinstance(place, str) else place)
+
+    return datagrams
--- /dev/null
+++ b/anisespool/records/sender.py
@@ -0,0 +1,230 @@
+"""Takes records from the backlog to the receiver, and tells the account. One task; nobody waits for it."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from random import Random
+
+from anisespool.records.channels import Channel, TooLongError
+from anisespool.records.form import Form
+from anisespool.rules.backoff import Backoff
+from anisespool.rules.recording import Account, Backlog, Doubt, Gap, Waiting
+
+CONNECT_S = 5.0
+FIRST_S, MOST_S = 0.2, 30.0  # between tries to connect
+GAP_S = 1.0  # between two tellings of gaps, while more is dropped all the time
+ACCOUNT_S = 60.0
+LAST_PAUSE_S = 0.05  # between tries at the end
+COMPLAINT_S = 10.0  # between two lines in the log
+AT_ONCE = 512  # records in one write
+
+
+class Told(Waiting):
+    """A record of the account's own, which is no request's: outcome -1."""
+
+    __slots__ = ("gap",)
+
+    def __init__(self, data: bytes, gap: Gap | None = None) -> None:
+        super().__init__(0, -1, 0, data)
+        self.gap = gap
+
+
+class Sender:
+    """`open_`: a new channel to the receiver; `frame`: what a message looks like on it. Books: every record
+    taken from the backlog is sent, dropped or back in it, whatever happens in between."""
+
+    def __init__(
+        self, backlog: Backlog, account: Account, form: Form, open_: Callable[[], Awaitable[Channel]],
+        frame: Callable[[bytes], bytes], doubt_bytes: int, flush_s: float, random: Random,
+        backoff: Backoff | None = None,
+    ) -> None:  # fmt: skip
+        self._backlog, self._account, self._form, self._open, self._frame = (
+            backlog,
+            account,
+            form,
+            open_,
+            frame,
+        )
+        self._flush_s, self._doubt = flush_s, Doubt(doubt_bytes)
+        self._backoff = backoff or Backoff(FIRST_S, MOST_S, random)
+        self._unsure: tuple[int, int, int] | None = None  # not yet told
+        self._more = asyncio.Event()
+        self._gap_told_s = self._complained_s = -GAP_S * 1000
+        self._account_told_s = time.monotonic()
+        self._ending, self._last_told = asyncio.Event(), False
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def wake(self) -> None:
+        """Something was put into the backlog."""
+        self._more.set()
+
+    async def end(self, within_s: float) -> None:
+        """What can leave within that time does, the last account behind it; the rest is dropped, and a line
+        of the log says so."""
+        self._ending.set()
+        self._more.set()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(within_s):
+                await asyncio.shield(self._task)
+        self._task.cancel()
+        with suppress(asyncio.CancelledError):
+            await self._task
+        self._backlog.drop_all("end")
+        lost = sum(self._backlog.dropped)
+        if lost or self._account.in_doubt:
+            sent, unsure = sum(self._account.sent), self._account.in_doubt
+            self._log(f"ended with {sent} records sent, {unsure} of them unsure, and {lost} dropped")
+
+    # The task -------------------------------------------------------------------------------------
+
+    async def _run(self) -> None:
+        while not (self._closing and self._idle):
+            await self._work_there_is()
+            try:
+                async with asyncio.timeout(CONNECT_S):
+                    channel = await self._open()
+            except (OSError, TimeoutError) as error:
+                await self._pause(f"no receiver: {str(error) or 'no answer'}")
+                continue
+            begun, why = time.monotonic(), "the receiver ended the connection"
+            try:
+                await self._pump(channel)
+            except OSError as error:
+                why = str(error)
+            finally:
+                if channel.is_stream and not (self._closing and self._idle):
+                    self._lost()
+                channel.close()
+            self._backoff.held(time.monotonic() - begun)
+            if not (self._closing and self._idle):
+                await self._pause(why)
+
+    async def _pause(self, why: str) -> None:
+        wait_s = self._backoff.failed()
+        self._complain(f"{why}; {len(self._backlog)} records wait, next try in {wait_s:.1f} s")
+        if self._closing:
+            wait_s = min(wait_s, LAST_PAUSE_S)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                await (asyncio.sleep(wait_s + 1) if self._closing else self._ending.wait())
+
+    @property
+    def _closing(self) -> bool:
+        return self._ending.is_set()
+
+    @property
+    def _idle(self) -> bool:
+        untold = self._unsure or self._backlog.gap.total or self._closing and not self._last_told
+        return not untold and not len(self._backlog)
+
+    async def _work_there_is(self) -> None:
+        while not len(self._backlog) and self._unsure is None and not self._closing:
+            self._more.clear()
+            await self._more.wait()
+
+    async def _pump(self, channel: Channel) -> None:
+        """Until the channel is lost, or all is done at the end."""
+        while not (self._closing and self._idle):
+            batch = self._batch(channel.most)
+            if batch:
+                await self._write(channel, batch)
+                continue
+            if channel.ended().done():
+                return
+            self._more.clear()
+            await self._more_or(channel.ended())
+            if not self._closing:
+                await asyncio.sleep(self._flush_s)  # a few together cost less
+
+    async def _more_or(self, ended: asyncio.Future[None]) -> None:
+        woken = asyncio.ensure_future(self._woken())
+        try:
+            await asyncio.wait((woken, ended), timeout=self._until_due(), return_when="FIRST_COMPLETED")
+        finally:
+            woken.cancel()
+
+    async def _woken(self) -> None:
+        await self._more.wait()
+
+    def _until_due(self) -> float:
+        now = time.monotonic()
+        due = self._account_told_s + ACCOUNT_S
+        if self._backlog.gap.total:
+            due = min(due, self._gap_told_s + GAP_S)
+        return max(0.0, due - now)
+
+    def _batch(self, most: int) -> list[Waiting]:
+        """What is to be told of the account first, then records, of about `most` octets with their frames."""
+        batch, size, now = self._tidings(time.monotonic()), 0, time.monotonic()
+        size = sum(len(record.data) + 8 for record in batch)
+        while len(batch) < AT_ONCE and (record := self._backlog.take()):
+            if batch and size + len(record.data) + 8 > most:
+                self._backlog.put_back(record)
+                break
+            size += len(record.data) + 8
+            batch.append(record)
+        if not batch and (self._closing and not self._last_told or now >= self._account_told_s + ACCOUNT_S):
+            self._account_told_s, self._last_told = now, self._closing
+            unix_ns, dropped = time.time_ns(), self._backlog.dropped
+            batch.append(Told(self._form.account(self._account, dropped, self._closing, unix_ns)))
+        return batch
+
+    def _tidings(self, now: float) -> list[Waiting]:
+        told: list[Waiting] = []
+        if self._unsure:
+            told.append(Told(self._form.doubt(*self._unsure, time.time_ns())))
+            self._unsure = None
+        if self._backlog.gap.total and (now >= self._gap_told_s + GAP_S or self._closing):
+            gap = self._backlog.close_gap()
+            assert gap
+            told.append(Told(self._form.gap(gap, time.time_ns()), gap))
+            self._gap_told_s = now
+        return told
+
+    async def _write(self, channel: Channel, batch: list[Waiting]) -> None:
+        try:
+            await channel.write([self._frame(record.data) for record in batch])
+        except TooLongError:
+            record = batch[channel.whole]
+            if record.outcome >= 0:
+                self._backlog.drop(record, "size")
+            batch = [*batch[: channel.whole], *batch[channel.whole + 1 :]]
+        finally:
+            for record in batch[: channel.whole]:
+                self._sent(record)
+            for record in reversed(batch[channel.whole :]):
+                self._back(record)
+
+    def _sent(self, record: Waiting) -> None:
+        if record.outcome >= 0:
+            self._account.sent[record.outcome] += 1
+            self._doubt.left(record)
+
+    def _back(self, record: Waiting) -> None:
+        if record.outcome >= 0:
+            self._backlog.put_back(record)
+        elif isinstance(record, Told) and record.gap:
+            self._backlog.reopen(record.gap)
+        else:
+            self._last_told = False  # an account is made anew when its time comes
+
+    def _lost(self) -> None:
+        """Danger: what left shortly before was perhaps never read. It is not sent again, for it may have
+        been: it is said to be unsure."""
+        count, first, last = self._doubt.lost()
+        if count:
+            self._account.in_doubt += count
+            before = self._unsure or (0, first, last)
+            self._unsure = before[0] + count, min(before[1], first), max(before[2], last)
+
+    def _complain(self, text: str) -> None:
+        if time.monotonic() >= self._complained_s + COMPLAINT_S:
+            self._complained_s = time.monotonic()
+            self._log(text)
+
+    def _log(self, text: str) -> None:
+        print(f"records: {text}", file=sys.stderr)
--- /dev/null
+++ b/anisespool/rules/recording.py
@@ -0,0 +1,201 @@
+"""What is recorded of a request, what waits to be sent, and what goes when there is no room. Pure: times are
+passed in.
+
+The account is exact: answered = sent + dropped + not chosen + waiting, at every moment.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
+from zlib import crc32
+
+OUTCOMES = ("served", "refused", "failed", "gone", "rejected")
+SERVED, REFUSED, FAILED, GONE, REJECTED = range(len(OUTCOMES))
+ALWAYS = frozenset((REFUSED, FAILED))  # whatever the shares say
+WHOLE = 2**32
+
+
+class Goes(Enum):
+    """Which record goes when there is no room."""
+
+    NEWEST = "newest"
+    OLDEST = "oldest"
+    SERVED = "served"  # the oldest served one, and the oldest of the others only if there is none
+
+
+class Sampling:
+    """Which records are written. The choice is by the trace id alone: each sidecar makes the same."""
+
+    def __init__(
+        self, shares: dict[str, float], classes: dict[str, dict[str, float]], names: list[str]
+    ) -> None:
+        """`shares` by outcome, `classes` the same of some classes, in place of it; `names`: of all
+        classes."""
+        usual = [shares.get(outcome, 1.0) for outcome in OUTCOMES]
+        self._usual, self._by_class = usual, {}
+        for n, name in enumerate(names):
+            own = classes.get(name, {})
+            self._by_class[n] = [own.get(outcome, usual[m]) for m, outcome in enumerate(OUTCOMES)]
+
+    def share(self, cls: int, outcome: int) -> float:
+        """`cls`: the class's place; any other: none that is known."""
+        return 1.0 if outcome in ALWAYS else self._by_class.get(cls, self._usual)[outcome]
+
+    def keeps(self, cls: int, outcome: int, trace: bytes) -> bool:
+        share = self.share(cls, outcome)
+        return share >= 1.0 or crc32(trace) < share * WHOLE
+
+
+class Waiting:
+    """A record on its way: an encoded message, and what the account needs of it."""
+
+    __slots__ = ("data", "number", "outcome", "stamp_ns")
+
+    def __init__(self, number: int, outcome: int, stamp_ns: int, data: bytes) -> None:
+        self.number, self.outcome, self.stamp_ns, self.data = number, outcome, stamp_ns, data
+
+
+@dataclass
+class Gap:
+    """Records that were dropped one after another: how many, of what, from when to when (Unix ns)."""
+
+    counts: list[int] = field(default_factory=lambda: [0] * len(OUTCOMES))
+    reasons: list[str] = field(default_factory=list)
+    from_ns: int = 0
+    to_ns: int = 0
+    first: int = 0  # numbers of the first and the last of them
+    last: int = 0
+
+    @property
+    def total(self) -> int:
+        return sum(self.counts)
+
+    def add(self, record: Waiting, reason: str) -> None:
+        counts = [0] * len(OUTCOMES)
+        counts[record.outcome] = 1
+        at, number = record.stamp_ns, record.number
+        self.join(Gap(counts, [reason], at, at, number, number))
+
+    def join(self, other: Gap) -> None:
+        """Both as one: the clock may have been set back in between."""
+        if not self.total:
+            self.from_ns, self.first = other.from_ns, other.first
+        self.counts = [a + b for a, b in zip(self.counts, other.counts, strict=True)]
+        self.reasons = list(dict.fromkeys([*self.reasons, *other.reasons]))
+        self.from_ns, self.to_ns = min(self.from_ns, other.from_ns), max(self.to_ns, other.to_ns)
+        self.first, self.last = min(self.first, other.first), max(self.last, other.last)
+
+
+class Backlog:
+    """Records that wait, bounded in octets and in number, and the gap that opens when they don't fit."""
+
+    def __init__(self, most_bytes: int, most_records: int, goes: Goes) -> None:
+        self.most_bytes, self.most_records, self.goes = most_bytes, most_records, goes
+        self.size = 0
+        self.dropped = [0] * len(OUTCOMES)
+        self.gap = Gap()  # not yet told
+        self._served: deque[Waiting] = deque()  # apart only where they go first
+        self._others: deque[Waiting] = deque()
+
+    def __len__(self) -> int:
+        return len(self._served) + len(self._others)
+
+    def put(self, record: Waiting) -> None:
+        """Makes room as it was told to; a record larger than all the room goes itself."""
+        need = len(record.data)
+        while len(self) and (self.size + need > self.most_bytes or len(self) >= self.most_records):
+            if self.goes is Goes.NEWEST:
+                self.drop(record, "full")
+                return
+            self.drop(self._oldest(), "full")
+        if need > self.most_bytes:
+            self.drop(record, "full")
+            return
+        self._line(record).append(record)
+        self.size += need
+
+    def take(self) -> Waiting | None:
+        """The oldest that waits."""
+        line = self._first()
+        if not line:
+            return None
+        record = line.popleft()
+        self.size -= len(record.data)
+        return record
+
+    def put_back(self, record: Waiting) -> None:
+        """One that was taken and did not leave: it is the oldest again. The bounds are passed by no more than
+        what was taken at a time."""
+        self._line(record).appendleft(record)
+        self.size += len(record.data)
+
+    def drop(self, record: Waiting, reason: str) -> None:
+        self.dropped[record.outcome] += 1
+        self.gap.add(record, reason)
+
+    def drop_all(self, reason: str) -> None:
+        while record := self.take():
+            self.drop(record, reason)
+
+    def close_gap(self) -> Gap | None:
+        """The gap, to be told now; the next begins anew."""
+        if not self.gap.total:
+            return None
+        gap, self.gap = self.gap, Gap()
+        return gap
+
+    def reopen(self, gap: Gap) -> None:
+        """A gap that could not be told: what has opened since is part of it."""
+        if self.gap.total:
+            gap.join(self.gap)
+        self.gap = gap
+
+    def _line(self, record: Waiting) -> deque[Waiting]:
+        apart = self.goes is Goes.SERVED and record.outcome == SERVED
+        return self._served if apart else self._others
+
+    def _first(self) -> deque[Waiting]:
+        if self._served and self._others:
+            return self._served if self._served[0].number < self._others[0].number else self._others
+        return self._served or self._others
+
+    def _oldest(self) -> Waiting:
+        """The one that goes."""
+        line = self._served or self._others if self.goes is Goes.SERVED else self._first()
+        record = line.popleft()
+        self.size -= len(record.data)
+        return record
+
+
+class Doubt:
+    """Records that left on a connection of late. When it is lost nobody knows whether they arrived: what the
+    receiver had not read yet goes with it, though its kernel had it."""
+
+    def __init__(self, most_bytes: int) -> None:
+        self._most, self._size = most_bytes, 0
+        self._left: deque[tuple[int, int]] = deque()  # number, octets
+
+    def left(self, record: Waiting) -> None:
+        self._left.append((record.number, len(record.data)))
+        self._size += len(record.data)
+        while self._size > self._most and len(self._left) > 1:
+            self._size -= self._left.popleft()[1]
+
+    def lost(self) -> tuple[int, int, int]:
+        """The connection is gone: how many are in doubt, and the least and the greatest of their numbers."""
+        numbers = [number for number, _ in self._left]
+        self._left.clear()
+        self._size = 0
+        return len(numbers), min(numbers, default=0), max(numbers, default=0)
+
+
+@dataclass
+class Account:
+    """Counts by outcome since the start."""
+
+    answered: list[int] = field(default_factory=lambda: [0] * len(OUTCOMES))
+    unchosen: list[int] = field(default_factory=lambda: [0] * len(OUTCOMES))
+    sent: list[int] = field(default_factory=lambda: [0] * len(OUTCOMES))
+    in_doubt: int = 0  # of the sent: on a connection shortly before it was lost
--- a/tests/test_arrows.py
+++ b/tests/test_arrows.py
@@ -19,12 +19,13 @@
     "backs": BASE,
     "core": BASE | {"backs"},
     "fronts": BASE | {"core"},
+    "records": BASE | {"core", "backs"},
     "control": BASE | {"core"},
     "agent": BASE | {"control"},
     "lab": {"config", "rules", "standins"},
-    "cli": BASE | {"agent", "standins", "instance", "lab"},
+    "cli": BASE | {"agent", "standins", "instance", "lab", "records"},
     "standins": BASE | {"agent"},
-    "instance": BASE | {"core", "fronts", "backs", "membership", "control"},
+    "instance": BASE | {"core", "fronts", "backs", "membership", "control", "records"},
     "__main__": {"instance", "cli"},
 }  # fmt: skip
 IN_RULES = {"anisespool.rules", "shuntlead.interface"}
@@ -64,6 +65,7 @@
     loaded = set(done.stdout.split())
     assert "anisespool.fronts.http1" in loaded
     for name in ("msgspec", "tomllib", "typer", "click", "rich", "grpc", "sqlite3", "structlog", "numpy",
-                 "anisespool.control", "anisespool.agent", "anisespool.cli", "anisespool.standins",
-                 "anisespool.config.operator"):  # fmt: skip
+                 "anisespool.control", "anisespool.records", "anisespool.rules.recording",
+                 "anisespool.wire.rfc5424", "anisespool.core.observed", "anisespool.agent",
+                 "anisespool.cli", "anisespool.standins", "anisespool.config.operator"):  # fmt: skip
         assert name not in loaded, name
