Rebuild request paths from logs: anisespool trace

After a bad evening the records are to be asked: one request's path by trace id with the tries of the same wish at any sidecar, the worst by time, tables by member, class, node, outcome and endpoint for a span, gaps and accounts. Reads files, gzip and standard input line by line; other lines are counted and passed over. Names are shown without markup and without control characters, as they are whatever clients sent.

--- a/anisespool/cli/main.py
+++ b/anisespool/cli/main.py
@@ -16,6 +16,7 @@
 from anisespool.agent.v1 import agent_pb2 as pb
 from anisespool.cli import show
 from anisespool.cli.client import CALL_S, CommandError, Exit, agent, author, load
+from anisespool.cli.trace import trace
 from anisespool.config import operator
 from anisespool.config.platform import ConfigError
 
@@ -90,6 +91,9 @@
     print(f"{file}: good")
 
 
+app.command("trace", rich_help_panel="Look")(trace)
+
+
 # Shown ------------------------------------------------------------------------------------------------
 
 
