--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -7,7 +7,7 @@
 import sys
 from collections.abc import Callable
 
-from benchmarks import admission, burst, decision, fleet, lab, overload, reality
+from benchmarks import admission, burst, decision, fleet, lab, overload, reality, records
 from benchmarks.report import Report
 
 NAMES: dict[str, Callable[[], Report]] = {
@@ -18,6 +18,7 @@
     "lab": lab.main,
     "overload": overload.main,
     "reality": reality.main,
+    "records": records.main,
 }
 
 
