--- a/anisespool/records/channels.py
+++ b/anisespool/records/channels.py
@@ -66,7 +66,7 @@
 class Datagrams:
     """UDP or a Unix socket: a frame is a datagram."""
 
-    most, is_stream = 65_536, False
+    most, is_stream = 16_384, False
 
     def __init__(self, sock: socket.socket) -> None:
         self._sock, self.whole = sock, 0
@@ -117,7 +117,7 @@
     """TCP. Danger: a frame that has left in part must be sent again from its begin, on another connection; so
     what of the write has left is counted octet by octet."""
 
-    most, is_stream = 65_536, True
+    most, is_stream = 16_384, True
 
     def __init__(self, sock: socket.socket) -> None:
         self._sock, self.whole = sock, 0
--- a/anisespool/records/form.py
+++ b/anisespool/records/form.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from functools import lru_cache
+from functools import cached_property, lru_cache
 from typing import NamedTuple
 
 from anisespool.rules.recording import FAILED, GONE, OUTCOMES, REFUSED, REJECTED, SERVED, Account, Gap
@@ -14,7 +14,7 @@
 
 SEVERITIES = {SERVED: 6, REFUSED: 4, FAILED: 3, GONE: 5, REJECTED: 5}  # RFC 5424, 6.2.1
 WARNING, NOTICE, INFO = 4, 5, 6
-STATUSES = {status: status.name.lower().replace("_", "-") for status in Status}
+STATUSES: dict[int, str] = {status: status.name.lower().replace("_", "-") for status in Status}
 MOST_SEQUENCE = 2_147_483_647  # then it begins with 1 again (RFC 5424, 7.3.1)
 NAMES_KEPT = 4096
 
@@ -71,7 +71,40 @@
             origin, enterprise, value(node, longest_value), shown, longest, longest_value, Stamps(offset_s)
         )
 
+    @cached_property
+    def _begins(self) -> list[str]:
+        """Of each outcome, what stands before a path's timestamp."""
+        return [f"<{self.origin.facility * 8 + SEVERITIES[outcome]}>1 " for outcome in range(len(OUTCOMES))]
+
+    @cached_property
+    def _goes_on(self) -> str:
+        origin = self.origin
+        return f' {origin.host} {origin.app} {origin.procid} path [meta sequenceId="'
+
     def path(self, number: int, path: Path, unix_ns: int) -> bytes:
+        """One request's record. The ordinary one is put together at once, as `whole` would in thrice the
+        time."""
+        cls, outcome, status, trace, member, alike, is_retry, came, ended, back_s, tries = path
+        most, pen = self.longest_value, self.enterprise
+        text = (
+            f'{self._begins[outcome]}{self.stamps(unix_ns)}{self._goes_on}{sequence(number)}"]'
+            f'[req@{pen} trace="{value(trace, most)}" class="{self.classes[cls] if cls >= 0 else "-"}"'
+            f' member="{value(member, most)}" node="{self.node}" outcome="{OUTCOMES[outcome]}" status="{status}"'
+            f' ms="{(ended - came) / 1e6:.3f}" tries="{len(tries)}" alike="{alike:08x}"'
+        )
+        if is_retry or back_s:
+            text += (' retry="1"' if is_retry else "") + (f' back="{back_s:.3f}"' if back_s else "")
+        text += "]"
+        for n, (endpoint, code, began, over) in enumerate(tries, 1):
+            text += (
+                f'[try{n}@{pen} ep="{_name(endpoint, most)}" status="{STATUSES[code]}"'
+                f' at="{(began - came) / 1e6:.3f}" ms="{(over - began) / 1e6:.3f}"]'
+            )
+        data = text.encode()
+        return data if len(data) <= self.longest else self.whole(number, path, unix_ns)
+
+    def whole(self, number: int, path: Path, unix_ns: int) -> bytes:
+        """The same from its elements, and cut where it is too long."""
         most, tries, came = self.longest_value, path.tries, path.came_ns
         params: list[Param] = [
             ("trace", value(path.trace, most)),
@@ -91,7 +124,7 @@
         elements = [("meta", [("sequenceId", str(sequence(number)))]), (f"req@{self.enterprise}", params)]
         for n, (endpoint, status, began, ended) in enumerate(tries, 1):
             elements.append((f"try{n}@{self.enterprise}", [
-                ("ep", _name(endpoint, most)), ("status", STATUSES[Status(status)]),
+                ("ep", _name(endpoint, most)), ("status", STATUSES[status]),
                 ("at", f"{(began - came) / 1e6:.3f}"), ("ms", f"{(ended - began) / 1e6:.3f}")]))  # fmt: skip
         severity = SEVERITIES[path.outcome]
         return encode(self.origin, severity, self.stamps(unix_ns), "path", elements, most=self.longest)
--- a/anisespool/records/recorder.py
+++ b/anisespool/records/recorder.py
@@ -5,6 +5,7 @@
 import os
 import socket
 import time
+import traceback
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable
 from functools import partial
@@ -41,6 +42,7 @@
 
 ENDS = {200: SERVED, 503: REFUSED, 0: GONE}  # any other answer: failed
 FIRST_S, MOST_S = 0.2, 30.0  # between tries to reach the receiver
+QUIET_S = 1.0  # between two tracebacks in the log
 GONE_KEPT = 1024  # names of endpoints that are no longer listed: attempts there may still be open
 
 
@@ -55,7 +57,7 @@
         self.account = Account()
         self.backlog = Backlog(options.most_bytes, options.most_records, Goes(options.goes))
         self._form, self._clock, self.sampling = form, clock, sampling
-        self._number = 0
+        self._number, self._complained_s = 0, -QUIET_S
         self._wake: Callable[[], None] = lambda: None
         self._options = options
         self.sender: Sender | None = None
@@ -75,7 +77,15 @@
         self.sampling = sampling_of(file, self._classes)
 
     def take(self, path: Path) -> None:
-        """A request is over."""
+        """A request is over. Danger: a fault in here must cost a record, not the request that comes next."""
+        try:
+            self._take(path)
+        except Exception:
+            if time.monotonic() >= self._complained_s + QUIET_S:
+                self._complained_s = time.monotonic()
+                traceback.print_exc()
+
+    def _take(self, path: Path) -> None:
         outcome = path.outcome
         self.account.answered[outcome] += 1
         if not self.sampling.keeps(path.cls, outcome, path.trace):
--- a/anisespool/records/sender.py
+++ b/anisespool/records/sender.py
@@ -20,7 +20,7 @@
 ACCOUNT_S = 60.0
 LAST_PAUSE_S = 0.05  # between tries at the end
 COMPLAINT_S = 10.0  # between two lines in the log
-AT_ONCE = 512  # records in one write
+AT_ONCE = 64  # records in one write
 MOST_TOLD = 64  # gaps of a connection that are told again when it is lost
 
 
@@ -77,12 +77,9 @@
         of the log says so."""
         self._ending.set()
         self._more.set()
-        with suppress(TimeoutError):
-            async with asyncio.timeout(within_s):
-                await asyncio.shield(self._task)
+        await asyncio.wait((self._task,), timeout=within_s)
         self._task.cancel()
-        with suppress(asyncio.CancelledError):
-            await self._task
+        await asyncio.gather(self._task, return_exceptions=True)
         self._backlog.drop_all("end")
         lost = sum(self._backlog.dropped)
         if lost or self._account.in_doubt:
@@ -97,7 +94,7 @@
             try:
                 async with asyncio.timeout(CONNECT_S):
                     channel = await self._open()
-            except (OSError, TimeoutError) as error:
+            except (OSError, ValueError, TimeoutError) as error:  # a name that TLS can't ask for among them
                 await self._pause(f"no receiver: {str(error) or 'no answer'}")
                 continue
             begun, why = time.monotonic(), "the receiver ended the connection"
@@ -142,6 +139,8 @@
             batch = self._batch(channel.most)
             if batch:
                 await self._write(channel, batch)
+                # Danger: while the kernel takes all of it, a long backlog would hold up every request.
+                await asyncio.sleep(0)
                 continue
             if channel.ended().done():
                 return
--- a/anisespool/standins/peers.py
+++ b/anisespool/standins/peers.py
@@ -65,6 +65,7 @@
                 else:
                     await self.answer(reader, writer)
         self.ended += 1
+        writer.close()  # or each connection that the peer has ended would hold a descriptor
 
 
 class Discovery(Peer):
