--- a/anisespool/lab/arrivals.py
+++ b/anisespool/lab/arrivals.py
@@ -27,13 +27,36 @@
         on_wish: Callable[[Wish], None],
     ) -> None:  # fmt: skip
         self.rate = 1.0  # of the traffic, in a trouble
+        self.tenant_rates = [1.0] * len(scenario.tenants)
         self._scenario, self._draws, self._clock, self._on_wish = scenario, draws, clock, on_wish
         self._first, self._begin, self._end = span
         self._wishes = 0
-        self._who = shares([1 - scenario.traffic.uneven * n / max(1, scenario.sidecars)
-                            for n in range(scenario.sidecars)])  # fmt: skip
+        self._zone_rates = dict.fromkeys(scenario.zones(), 1.0)
+        self._quotas, self._room = scenario.quotas_per_s(), [0.0] * len(scenario.tenants)
+        self._room_at = 0
+        self.shift(0, 1.0)
         self._kinds = shares([c.share for c in scenario.classes])
 
+    def shift(self, zone: int, times: float) -> None:
+        """That zone's clients ask so many times as often, the others less, so that all ask for as much."""
+        traffic, count = self._scenario.traffic, max(1, self._scenario.sidecars)
+        self._zone_rates[zone] = times
+        places, usual, now = list(self._zone_rates), [], []
+        for n in range(self._scenario.sidecars):
+            at = n % len(places)
+            skew = 1 + traffic.zone_skew * (1 - 2 * at / max(1, len(places) - 1))
+            usual.append((1 - traffic.uneven * n / count) * skew)
+            now.append(usual[-1] * self._zone_rates[places[at]])
+        struck = [self._zone_rates[places[n % len(places)]] != 1.0 for n in range(self._scenario.sidecars)]
+        moved = sum(now) - sum(usual)
+        others = sum(weight for weight, is_struck in zip(usual, struck, strict=True) if not is_struck)
+        less = max(0.0, 1 - moved / others) if others else 1.0
+        pairs = zip(now, struck, strict=True)
+        self._who = shares([weight if is_struck else weight * less for weight, is_struck in pairs])
+
+    def tenant(self, number: int, times: float) -> None:
+        self.tenant_rates[number] = times
+
     def start(self) -> None:
         self._clock.at(self._first, self._next)
         for burst in self._scenario.bursts:
@@ -46,8 +69,12 @@
             part = (now - self._begin) / (self._end - self._begin)
             rate += (traffic.until_per_s - rate) * min(1.0, max(0.0, part))
         rate *= self.rate
+        tenants = [t.share * t.usage * times
+                   for t, times in zip(self._scenario.tenants, self.tenant_rates, strict=True)]  # fmt: skip
+        if tenants:  # one that floods comes on top of the others
+            rate *= sum(tenants) / sum(t.share * t.usage for t in self._scenario.tenants)
         if self._first < now < self._end:
-            self._wish(self._draws.pick(self._kinds))
+            self._wish(self._draws.pick(self._kinds), self._draws.pick(shares(tenants)) if tenants else 0)
         if now >= self._end:
             return
         if rate <= 0:
@@ -63,7 +90,20 @@
         if burst.every_s and self._clock.now + burst.every_s * SECOND < self._end:
             self._clock.after(int(burst.every_s * SECOND), self._burst, burst)
 
-    def _wish(self, cls: int) -> None:
+    def _weight(self, tenant: int) -> float:
+        """1 within the tenant's quota (a bucket of a second), else what more than that is worth."""
+        if not self._quotas:
+            return 1.0
+        passed, self._room_at = (self._clock.now - self._room_at) / SECOND, self._clock.now
+        for n, quota in enumerate(self._quotas):
+            self._room[n] = min(quota, self._room[n] + passed * quota)
+        self._room[tenant] -= 1
+        if self._room[tenant] >= 0:
+            return 1.0
+        self._room[tenant] = 0.0
+        return self._scenario.over_share_worth
+
+    def _wish(self, cls: int, tenant: int = 0) -> None:
         spec, clients, draws = self._scenario.classes[cls], self._scenario.clients, self._draws
         work = spec.work_ms * MS
         if spec.work == "exponential":
@@ -75,7 +115,9 @@
         sidecar = draws.pick(self._who)
         patience = draws.uniform(*clients.gives_up)
         honours = draws.uniform() < clients.honour
-        self._on_wish(Wish(self._wishes, cls, self._clock.now, max(1, int(work)), sidecar, patience, honours))
+        wish = Wish(self._wishes, cls, self._clock.now, max(1, int(work)), sidecar, patience, honours)
+        wish.tenant, wish.weight = tenant, self._weight(tenant)
+        self._on_wish(wish)
 
 
 def plan(scenario: Scenario, seed: int) -> list[Wish]:
@@ -85,10 +127,14 @@
     arrivals = Arrivals(scenario, Streams(seed).named("arrivals"), clock, (0, begin, end), wishes.append)
     arrivals.start()
     for trouble in scenario.troubles:
-        if trouble.kind == "traffic":
-            at = begin + int(trouble.at_s * SECOND)
-            clock.at(at, setattr, arrivals, "rate", trouble.size)
-            clock.at(at + int(trouble.for_s * SECOND), setattr, arrivals, "rate", 1.0)
+        at = begin + int(trouble.at_s * SECOND)
+        for when, size in ((at, trouble.size), (at + int(trouble.for_s * SECOND), 1.0)):
+            if trouble.kind == "traffic":
+                clock.at(when, setattr, arrivals, "rate", size)
+            elif trouble.kind == "tenant":
+                clock.at(when, arrivals.tenant, trouble.tenant, size)
+            elif trouble.kind == "shift":
+                clock.at(when, arrivals.shift, trouble.zone, size)
     clock.run(end)
     return wishes
 
--- a/anisespool/lab/endpoint.py
+++ b/anisespool/lab/endpoint.py
@@ -42,6 +42,7 @@
     fails: float = 0.0  # share
     taken: float = 0.0  # by a neighbour, share of the machine
     paused_until: int = 0
+    loses: float = 0.0  # share of its answers
     delay: float = 1.0  # times, of messages to and from it
     dead: bool = False  # connections are refused
     vanished: bool = False  # says nothing, and nothing reaches it
--- a/anisespool/lab/news.py
+++ b/anisespool/lab/news.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from anisespool.lab.endpoint import Endpoint
 from anisespool.lab.scenario import SECOND, Scenario
@@ -18,14 +18,20 @@
         self._delay_s, self._draws = scenario.membership.delay_s, draws
         self._revision = 1
         self._due = [0] * scenario.sidecars  # when the last change told arrives
+        self._quiet = [0] * scenario.sidecars  # until when nothing is told
         self._has = [1] * scenario.sidecars  # the revision of each one's list
 
+    def silent(self, until: int, numbers: Iterable[int] | None = None) -> None:
+        """Nothing is told to these (to all) before `until`."""
+        for number in range(len(self._quiet)) if numbers is None else numbers:
+            self._quiet[number] = max(self._quiet[number], until)
+
     def change(self, now: int) -> Iterator[tuple[int, int, int]]:
         """The next revision: of each sidecar its number, when it hears, and the revision."""
         self._revision += 1
         for number, due in enumerate(self._due):
             late = int(self._draws.uniform(*self._delay_s) * self.lag * SECOND)
-            self._due[number] = max(due, now + late)
+            self._due[number] = max(due, now + late, self._quiet[number])
             yield number, self._due[number], self._revision
 
     def whole(self) -> int:
--- a/anisespool/lab/reality.py
+++ b/anisespool/lab/reality.py
@@ -34,7 +34,8 @@
 from anisespool.standins import site
 
 MOST_SIDECARS, MOST_DOORS = 16, 4000  # processes, and listeners of endpoints
-LACKING = frozenset(("vanish",))  # loopback answers for a machine that is not there
+LACKING = frozenset(("vanish", "cut", "lossy", "replace", "sidecars", "roll"))  # loopback answers for a
+# machine that is not there, and nothing of ours stands between two processes
 LEAD_NS = SECOND // 2  # from the order to begin until the first request may be due
 SLACK_NS = 100 * MS  # a final answer past its deadline: the rule's 50 ms, and as much for this process
 LATE_P99_MS = 20.0  # of this process's own sends: beyond it the run says nothing
@@ -87,7 +88,7 @@
         raw = scenarios.raw_settings(scenario, number, place[number])
         kinds, most = len(scenario.endpoints), max(group.zone for group in scenario.endpoints)
         raw |= {"zones": [f"z{n}" for n in range(most + 1)], "skus": [f"m{n}" for n in range(kinds)],
-                "tenants": [{"name": "all", "share": 1.0, "quota-per-s": 1e9}]}  # fmt: skip
+                "tenants": raw["tenants"] or [{"name": "all", "share": 1.0, "quota-per-s": 1e9}]}  # fmt: skip
         raw["allowed"]["keepalive-ns"] = 60 * SECOND
         discovery, members = found
         listen = "{}:{}".format(*self.address)
@@ -236,7 +237,8 @@
         status, wait_s, own = 0, 0.0, False
         with suppress(TimeoutError):
             async with asyncio.timeout((left + SLACK_NS) / 1e9):
-                status, wait_s, own = await sidecar.ask(_request(spec, wish, trace, left), trace)
+                data = _request(spec, wish, trace, left, self._tenant(wish))
+                status, wait_s, own = await sidecar.ask(data, trace)
         now = time.monotonic_ns()
         tally.closed(now, began)
         if not status and sidecar.killed_at < began - SECOND and now - began >= left + SLACK_NS:
@@ -262,6 +264,10 @@
             return None
         return wish.told[1] if refused and wish.told[1] and wish.honours else int(clients.backoff_ms * MS)
 
+    def _tenant(self, wish: Wish) -> bytes:
+        tenants = self.scenario.tenants
+        return tenants[wish.tenant].name.encode() if tenants else b"all"
+
     def _broke(self, text: str) -> None:
         self.played.broken = self.played.broken or text
 
@@ -281,13 +287,14 @@
             raise VoidError(f"{late}: the machine is too small or too busy for this scenario")
 
 
-def _request(spec: scenarios.Class, wish: Wish, trace: bytes, left: int) -> bytes:
+def _request(spec: scenarios.Class, wish: Wish, trace: bytes, left: int, tenant: bytes) -> bytes:
     method = b"GET" if spec.effect == "repeatable" else b"POST"
     key = b"Idempotency-Key: w%d\r\n" % wish.number if spec.effect == "by_key" else b""
     again = b"X-Second-Try: 1\r\n" if wish.tries > 1 else b""
     path = b"/%s/%d.%d.%d" % (spec.name.encode(), wish.number, wish.tries, wish.work_ns)
-    head = b"%s %s HTTP/1.1\r\nHost: lab\r\nX-Trace-Id: %s\r\nX-Customer: all\r\n" % (method, path, trace)
-    return head + b"X-Expires-In-Ms: %d\r\n%s%sContent-Length: 0\r\n\r\n" % (left // MS, key, again)
+    head = b"%s %s HTTP/1.1\r\nHost: lab\r\nX-Trace-Id: %s\r\n" % (method, path, trace)
+    end = b"X-Expires-In-Ms: %d\r\n%s%sContent-Length: 0\r\n\r\n" % (left // MS, key, again)
+    return head + b"X-Customer: %s\r\n" % tenant + end
 
 
 def _field(head: bytes, name: bytes) -> bytes:
--- a/anisespool/lab/scenario.py
+++ b/anisespool/lab/scenario.py
@@ -67,6 +67,7 @@
     arrivals: Literal["poisson", "steady"] = "poisson"
     until_per_s: NotNegative | None = None  # a ramp to that rate at the end
     uneven: Share = 0.0  # 0: sidecars alike; 1: the first has most
+    zone_skew: Share = 0.0  # 0: zones alike; 1: a sidecar of the last zone has none, one of the first twice
 
 
 class Burst(Spec, frozen=True, kw_only=True):
@@ -86,6 +87,23 @@
     gives_up: Range = (1.0, 1.0)  # after this share of the deadline
 
 
+class Tenant(Spec, frozen=True, kw_only=True):
+    """Whose requests they are. What comes beyond its quota is worth `over_share_worth` of the rest."""
+
+    name: str
+    share: Annotated[float, Meta(gt=0, le=1)]  # of the quotas' sum, `quota_of_capacity` of what all can do
+    usage: Positive = 1.0  # times its share of the traffic
+
+
+class Prices(Spec, frozen=True, kw_only=True):
+    """What is taken off the service, per unit."""
+
+    cross_zone: NotNegative = 0.0  # attempts that cross zones, over wishes
+    handshake: NotNegative = 0.0  # connections opened, over wishes
+    late_fail: NotNegative = 0.0  # worth that ended unserved after its aim, over worth asked for
+    list_line: NotNegative = 0.0  # lines of lists, over 100 wishes
+
+
 class Network(Spec, frozen=True, kw_only=True):
     """One way, each message anew."""
 
@@ -93,6 +111,7 @@
     cross_ms: NotNegative = 2.0
     spread: Share = 0.0
     handshake_trips: Annotated[int, Meta(ge=0, le=10)] = 1
+    handshake_work_ms: NotNegative = 0.0  # of the endpoint's, for each connection
     connect_timeout_ms: Positive = 250.0
 
 
@@ -119,7 +138,10 @@
 Kind = Literal[
     "slow", "fail", "pause", "neighbour", "kill", "vanish", "restart", "drain", "delay", "reset", "traffic",
     "stale", "wipe", "sidecar",
+    "cut", "quiet", "lossy", "replace", "shift", "tenant", "sidecars", "roll",
 ]  # fmt: skip
+OF_ALL = ("traffic", "stale", "wipe", "sidecar", "cut", "quiet", "shift", "tenant", "sidecars", "roll")  # not
+# of single endpoints
 
 
 class Trouble(Spec, frozen=True, kw_only=True):
@@ -130,7 +152,11 @@
     for_s: NotNegative = 0.0
     endpoints: list[int] = []  # by number from 0; none named: a `part` of them, drawn from the seed
     part: Share = 0.1
-    size: Positive = 2.0  # slow: times; fail, neighbour: share; traffic: times the rate; delay: times
+    zone: Annotated[int, Meta(ge=0, le=31)] | None = None  # all of that zone, in place of a part
+    size: Positive = 2.0  # slow, delay: times; fail, neighbour, lossy: share; traffic, shift, tenant: times
+    # the rate (of all; of one zone, the others less by as much; of one tenant)
+    tenant: Annotated[int, Meta(ge=0)] = 0  # whose, by number
+    spread_s: NotNegative = 0.0  # one after another over so long, not all at once
 
 
 Groups = Annotated[list[Endpoints], Meta(min_length=1)]
@@ -149,6 +175,10 @@
     classes: Classes = msgspec.field(default_factory=lambda: [Class(name="send-one")])
     traffic: Traffic = Traffic()
     bursts: list[Burst] = []
+    tenants: Annotated[list[Tenant], Meta(max_length=64)] = []
+    quota_of_capacity: Positive = 0.87
+    over_share_worth: Share = 0.1
+    prices: Prices = Prices()
     clients: Clients = Clients()
     network: Network = Network()
     reports: Reports = Reports()
@@ -166,8 +196,18 @@
         work_s = sum(c.share * c.work_ms for c in self.classes) / total / 1000
         return sum(g.count * g.cores * g.speed for g in self.endpoints) / work_s
 
+    def quotas_per_s(self) -> list[float]:
+        """Of each tenant, of all sidecars together."""
+        whole = self.quota_of_capacity * self.capacity_per_s()
+        return [tenant.share * whole for tenant in self.tenants]
+
+    def zones(self) -> list[int]:
+        """Those with endpoints, in order: sidecars are placed in them in turn."""
+        return sorted({group.zone for group in self.endpoints})
+
 
 ADDED = ("bursts", "troubles")
+SHARES = ("fail", "neighbour", "lossy")  # troubles whose size is a share
 
 
 def load(name: str | Path) -> Scenario:
@@ -235,12 +275,21 @@
 
 def _check(made: Scenario, source: str) -> None:
     for n, trouble in enumerate(made.troubles):
+        at = f"{source}: troubles[{n}]"
         wrong = [number for number in trouble.endpoints if not 0 <= number < made.size]
         if wrong:
             where = f"troubles[{n}].endpoints"
             raise ScenarioError(f"{source}: {where}: found {wrong[0]}, wanted 0 to {made.size - 1}")
-        if trouble.kind in ("fail", "neighbour") and trouble.size > 1:
+        if trouble.kind in SHARES and trouble.size > 1:
             raise ScenarioError(f"{source}: troubles[{n}].size: found {trouble.size}, wanted a share up to 1")
+        if trouble.zone is not None and trouble.zone not in made.zones():
+            known = ", ".join(map(str, made.zones()))
+            raise ScenarioError(f"{at}.zone: found {trouble.zone}, wanted one of {known}")
+        if trouble.kind in ("cut", "shift") and trouble.zone is None:
+            raise ScenarioError(f"{at}.zone: found none, wanted the zone of a {trouble.kind}")
+        if trouble.kind == "tenant" and trouble.tenant >= len(made.tenants):
+            most = len(made.tenants)
+            raise ScenarioError(f"{at}.tenant: found {trouble.tenant}, wanted below {most}")
     for n, burst in enumerate(made.bursts):
         if burst.cls >= len(made.classes):
             most = len(made.classes)
@@ -275,4 +324,9 @@
              "target-ns": int(c.target_ms * MS), "deadline-ns": int(c.deadline_ms * MS),
              "worth": c.worth, "dedup-window-ns": int(c.deadline_ms * MS)}
             for c in made.classes],
+        "tenants": [{"name": t.name, "share": t.share, "quota-per-s": quota}
+                    for t, quota in zip(made.tenants, made.quotas_per_s(), strict=True)],
+        "over-share-worth": made.over_share_worth,
+        "prices": {"cross-zone": made.prices.cross_zone, "handshake": made.prices.handshake,
+                   "late-fail": made.prices.late_fail},
     }  # fmt: skip
--- a/anisespool/lab/search.py
+++ b/anisespool/lab/search.py
@@ -18,12 +18,23 @@
 from anisespool.lab import scenario as scenarios
 from anisespool.lab.breaks import BREAKS
 from anisespool.lab.policies import POLICIES
-from anisespool.lab.scenario import Burst, Class, Clients, Endpoints, Kind, Scenario, Traffic, Trouble
+from anisespool.lab.scenario import (
+    OF_ALL,
+    SHARES,
+    Burst,
+    Class,
+    Clients,
+    Endpoints,
+    Kind,
+    Scenario,
+    Traffic,
+    Trouble,
+)
 from anisespool.lab.world import World
 from shuntlead import interface as api
 
-KINDS: tuple[Kind, ...] = get_args(Kind)
-SHARES = ("fail", "neighbour")
+KINDS: tuple[Kind, ...] = tuple(kind for kind in get_args(Kind) if kind != "tenant")  # worlds drawn have none
+OF_A_ZONE = ("cut", "shift")
 MOST_TROUBLES = 6
 FRESH = 0.4  # share of scenarios drawn anew; the others vary one that showed something
 POOL = 200
@@ -107,8 +118,11 @@
     kind = random.choice(KINDS)
     size = random.uniform(0.2, 1.0) if kind in SHARES else random.choice((1.5, 3.0, 10.0, 40.0))
     at_s, for_s = random.uniform(0, made.seconds * 0.9), random.uniform(0.05, made.seconds)
-    if kind in ("traffic", "stale", "wipe", "sidecar") or random.random() < 0.3:
-        return Trouble(kind=kind, at_s=at_s, for_s=for_s, size=size, part=random.uniform(0.05, 1.0))
+    if kind in OF_A_ZONE:
+        return Trouble(kind=kind, at_s=at_s, for_s=for_s, size=size, zone=random.choice(made.zones()))
+    if kind in OF_ALL or random.random() < 0.3:
+        part, spread_s = random.uniform(0.05, 1.0), random.choice((0.0, 1.0))
+        return Trouble(kind=kind, at_s=at_s, for_s=for_s, size=size, part=part, spread_s=spread_s)
     hit = random.sample(range(made.size), random.randint(1, made.size))
     return Trouble(kind=kind, at_s=at_s, for_s=for_s, size=size, endpoints=sorted(hit))
 
--- a/anisespool/lab/served.py
+++ b/anisespool/lab/served.py
@@ -252,9 +252,24 @@
     def set_rate(self, times: float) -> None:
         """The clients' plan has it."""
 
+    def set_tenant(self, number: int, times: float) -> None:
+        """The clients' plan has it."""
+
+    def shift(self, zone: int, times: float) -> None:
+        """The clients' plan has it."""
+
+    def cut(self, zone: int, begins: bool, until: int) -> None:
+        raise NotImplementedError("refused before the run (lab/reality.py)")
+
+    def replace(self, endpoint: Endpoint) -> Endpoint:
+        raise NotImplementedError("refused before the run (lab/reality.py)")
+
     def restart_sidecar(self, number: int) -> None:
         """Whoever started them does."""
 
+    def roll_sidecar(self, place: int) -> None:
+        raise NotImplementedError("refused before the run (lab/reality.py)")
+
     def lose(self, endpoint: Endpoint) -> None:
         for n in range(self.scenario.sidecars):
             self.doors[endpoint.id, n].drop(shut=endpoint.ails.dead)
--- a/anisespool/lab/tally.py
+++ b/anisespool/lab/tally.py
@@ -11,6 +11,7 @@
 from anisespool.lab.scenario import SECOND, Scenario
 
 OUTCOMES = ("in_time", "late", "refused", "failed", "gone")
+GOAL = (0.45, 0.15, 0.3, 0.1)  # whole, worst window, worst class, worst tenant
 LONGEST_US = 3_600_000_000
 
 
@@ -29,6 +30,8 @@
     sidecar: int
     patience: float  # share of the deadline after which a try is given up
     honours: bool
+    tenant: int = 0
+    weight: float = 1.0  # of its class's worth: less beyond its tenant's quota
     tries: int = 0
     runs: int = 0  # begun at any endpoint
     refused: int = 0
@@ -47,7 +50,16 @@
     windows: dict[int, Counter[tuple[int, str]]] = field(default_factory=dict)  # by second and class
     latency: list[HdrHistogram] = field(default_factory=list)
     attempts: int = 0
+    crossings: int = 0  # attempts from one zone to another
+    handshakes: int = 0  # connections opened
+    lines: int = 0  # of lists, told to sidecars
     tries: int = 0
+    tries_counted: int = 0  # those after the warm-up
+    tries_refused: int = 0  # of these
+    worth_asked: float = 0.0
+    worth_in_time: float = 0.0
+    worth_late: float = 0.0  # not in time, and ended after its aim
+    worth_by: dict[int, Counter[bool]] = field(default_factory=dict)  # by tenant within its quota: in time
     tries_ended: int = 0
     open: int = 0
     honest: Counter[bool] = field(default_factory=Counter)  # a next try after the told time went through
@@ -74,6 +86,16 @@
     def wished(self, wish: Wish) -> None:
         if wish.came >= self.begin:
             self.asked[wish.cls] += 1
+            self.worth_asked += self._worth(wish)
+
+    def _worth(self, wish: Wish) -> float:
+        return self.scenario.classes[wish.cls].worth * wish.weight
+
+    def tried(self, wish: Wish, refused: bool) -> None:
+        """A try has ended, with a refusal or otherwise."""
+        if wish.came >= self.begin:
+            self.tries_counted += 1
+            self.tries_refused += refused
 
     def end(self, wish: Wish, now: int, outcome: str) -> None:
         """The last that becomes of a wish."""
@@ -86,11 +108,20 @@
         if wish.came < self.begin:
             return
         self.ended[wish.cls, outcome] += 1
+        self._weigh(wish, now, outcome)
         window = self.windows.setdefault((wish.came - self.begin) // SECOND, Counter())
         window[wish.cls, outcome] += 1
         if outcome in ("in_time", "late"):
             self.latency[wish.cls].record_value(max(1, (now - wish.came) // 1000))
 
+    def _weigh(self, wish: Wish, now: int, outcome: str) -> None:
+        if outcome == "in_time":
+            self.worth_in_time += self._worth(wish)
+        elif now - wish.came > self.scenario.classes[wish.cls].target_ms * 1e6:
+            self.worth_late += self._worth(wish)
+        if wish.weight == 1.0:
+            self.worth_by.setdefault(wish.tenant, Counter())[outcome == "in_time"] += 1
+
     def balance(self, now: int) -> None:
         """Conservation, and Little's law by two books: what was open over time, and how long each was."""
         self._move(now)
@@ -104,10 +135,43 @@
 
     def service(self) -> float:
         """Worth answered in time over worth asked for."""
-        worth = [c.worth for c in self.scenario.classes]
-        asked = sum(worth[cls] * n for cls, n in self.asked.items())
-        good = sum(worth[cls] * n for (cls, outcome), n in self.ended.items() if outcome == "in_time")
-        return good / asked if asked else 1.0
+        return self.worth_in_time / self.worth_asked if self.worth_asked else 1.0
+
+    def prices(self) -> dict[str, float]:
+        """What is taken off the service, by what for."""
+        wishes, prices = max(1, sum(self.asked.values())), self.scenario.prices
+        return {
+            "cross_zone": prices.cross_zone * self.crossings / wishes,
+            "handshake": prices.handshake * self.handshakes / wishes,
+            "late_fail": prices.late_fail * self.worth_late / (self.worth_asked or 1.0),
+            "list_line": prices.list_line * self.lines / 100 / wishes,
+        }
+
+    def worst_window(self, seconds: int = 10) -> float:
+        """The least service of any span of so many whole seconds, all worth alike within its class."""
+        worth, last = [c.worth for c in self.scenario.classes], max(self.windows, default=-1)
+        sums = []
+        for second in range(last + 1):
+            window = self.windows.get(second, Counter())
+            good = sum(worth[cls] * n for (cls, outcome), n in window.items() if outcome == "in_time")
+            sums.append((good, sum(worth[cls] * n for (cls, _), n in window.items())))
+        spans = [sums[n : n + seconds] for n in range(max(1, len(sums) - seconds + 1))]
+        return min((sum(g for g, _ in s) / (sum(a for _, a in s) or 1.0) for s in spans), default=1.0)
+
+    def worst_class(self) -> float:
+        shares = (self.ended[cls, "in_time"] / n for cls, n in self.asked.items() if n)
+        return min(shares, default=1.0)
+
+    def worst_tenant(self) -> float:
+        """Within its quota."""
+        return min((found[True] / sum(found.values()) for found in self.worth_by.values()), default=1.0)
+
+    def net(self) -> float:
+        """One figure, as the site's operators weigh a day: service as a whole, in its worst ten seconds, of
+        the worst class and tenant, less the prices."""
+        parts = self.service(), self.worst_window(), self.worst_class(), self.worst_tenant()
+        whole = sum(weight * part for weight, part in zip(GOAL, parts, strict=True))
+        return whole - sum(self.prices().values())
 
     def share(self, outcome: str) -> float:
         asked = sum(self.asked.values())
@@ -127,5 +191,9 @@
             **{outcome: self.share(outcome) for outcome in OUTCOMES},
             "p50_ms": self.quantile_ms(0.5), "p99_ms": self.quantile_ms(0.99),
             "attempts": self.attempts / max(1, asked), "tries": self.tries / max(1, asked),
+            "tries_refused": self.tries_refused / max(1, self.tries_counted), "net": self.net(),
+            **{f"price_{what}": price for what, price in self.prices().items()},
+            "worst_window": self.worst_window(), "worst_class": self.worst_class(),
+            "worst_tenant": self.worst_tenant(),
             "honest": self.honest[True] / max(1, sum(self.honest.values())),
         }  # fmt: skip
--- a/anisespool/lab/troubles.py
+++ b/anisespool/lab/troubles.py
@@ -8,10 +8,12 @@
 from anisespool.lab.backend import Ticks
 from anisespool.lab.endpoint import Endpoint
 from anisespool.lab.news import News
-from anisespool.lab.scenario import SECOND, Scenario, Trouble
+from anisespool.lab.scenario import OF_ALL, SECOND, Scenario, Trouble
 from anisespool.lab.streams import Draws
 from shuntlead.interface import EndpointState
 
+SIDECARS = ("sidecars", "roll")  # many are restarted
+
 
 class Stage(Protocol):
     """A run, in the model or with real processes, as the troubles see it."""
@@ -29,8 +31,23 @@
     def set_rate(self, times: float) -> None:
         """Of the traffic."""
 
+    def set_tenant(self, number: int, times: float) -> None:
+        """The traffic of one tenant."""
+
+    def shift(self, zone: int, times: float) -> None:
+        """The traffic of one zone, at the others' cost."""
+
+    def cut(self, zone: int, begins: bool, until: int) -> None:
+        """Nothing passes between that zone and the others; `until` its sidecars hear no news."""
+
+    def replace(self, endpoint: Endpoint) -> Endpoint:
+        """Another one in its place, under another name, not yet listed."""
+
     def restart_sidecar(self, number: int) -> None: ...
 
+    def roll_sidecar(self, place: int) -> None:
+        """Restarted in order: what it has taken is answered."""
+
     def lose(self, endpoint: Endpoint) -> None:
         """Its connections are reset; where it is dead no more come up."""
 
@@ -46,16 +63,40 @@
     for trouble in world.scenario.troubles:
         at = world.begin + int(trouble.at_s * SECOND)
         over = at + int(trouble.for_s * SECOND)
-        if trouble.kind in ("traffic", "stale", "wipe", "sidecar"):
+        if trouble.kind in SIDECARS:
+            numbers = _places(world.scenario, trouble, draws)
+            for number, late in zip(numbers, _steps(trouble, len(numbers)), strict=True):
+                world.clock.at(at + late, _restarted, world, trouble, number)
+            continue
+        if trouble.kind in OF_ALL:
             world.clock.at(at, _of_all, world, trouble, True)
             world.clock.at(over, _of_all, world, trouble, False)
             continue
-        for endpoint in _hit(world, trouble, draws):
-            world.clock.at(at, _log_and, world, trouble, endpoint, True)
-            world.clock.at(over, _log_and, world, trouble, endpoint, False)
+        hit = _hit(world, trouble, draws)
+        for endpoint, late in zip(hit, _steps(trouble, len(hit)), strict=True):
+            world.clock.at(at + late, _log_and, world, trouble, endpoint, True)
+            world.clock.at(over + late, _log_and, world, trouble, endpoint, False)
+
+
+def _steps(trouble: Trouble, count: int) -> list[int]:
+    """How much later than the first each is struck, ns."""
+    return [int(trouble.spread_s * SECOND * n / count) for n in range(count)]
+
+
+def _places(scenario: Scenario, trouble: Trouble, draws: Draws) -> list[int]:
+    """Sidecars that are restarted: a part of them, or for a roll all."""
+    order = sorted(range(scenario.sidecars), key=lambda n: (draws.uniform(), n))
+    return order if trouble.kind == "roll" else order[: max(1, round(trouble.part * len(order)))]
+
+
+def _restarted(world: Stage, trouble: Trouble, number: int) -> None:
+    world.log("trouble", trouble.kind, number)
+    (world.roll_sidecar if trouble.kind == "roll" else world.restart_sidecar)(number)
 
 
 def _hit(world: Stage, trouble: Trouble, draws: Draws) -> list[Endpoint]:
+    if trouble.zone is not None:
+        return [endpoint for endpoint in world.endpoints if endpoint.spec.zone == trouble.zone]
     if trouble.endpoints:
         return [world.endpoints[number] for number in trouble.endpoints]
     count = max(1, round(trouble.part * len(world.endpoints))) if trouble.part else 0
@@ -71,6 +112,16 @@
         world.news.lag = trouble.size if begins else 1.0
     elif trouble.kind == "wipe":
         world.tell_all(rows=not begins)
+    elif trouble.kind == "tenant":
+        world.set_tenant(trouble.tenant, trouble.size if begins else 1.0)
+    elif trouble.kind == "quiet":
+        world.news.silent(world.clock.now + int(trouble.for_s * SECOND) if begins else 0)
+    elif trouble.kind in ("cut", "shift"):
+        assert trouble.zone is not None
+        if trouble.kind == "shift":
+            world.shift(trouble.zone, trouble.size if begins else 1.0)
+        else:
+            world.cut(trouble.zone, begins, world.clock.now + int(trouble.for_s * SECOND))
     elif begins:
         world.restart_sidecar(struck(trouble, world.scenario))
 
@@ -101,6 +152,21 @@
     endpoint.ails.delay = trouble.size if begins else 1.0
 
 
+def _lossy(world: Stage, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
+    endpoint.ails.loses = trouble.size if begins else 0.0
+
+
+def _replace(world: Stage, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
+    """Another one is listed, this one drains, and is gone after `for_s`."""
+    if begins:
+        world.tell(world.replace(endpoint), EndpointState.READY)
+        world.tell(endpoint, EndpointState.DRAINING)
+    else:
+        endpoint.ails.dead = True
+        world.lose(endpoint)
+        world.tell(endpoint, EndpointState.GONE)
+
+
 def _pause(world: Stage, trouble: Trouble, endpoint: Endpoint, begins: bool) -> None:
     if begins:
         endpoint.ails.paused_until = world.clock.now + int(trouble.for_s * SECOND)
@@ -150,5 +216,6 @@
 
 KINDS: dict[str, Callable[[Stage, Trouble, Endpoint, bool], None]] = {
     "slow": _slow, "fail": _fail, "neighbour": _neighbour, "delay": _delay, "pause": _pause, "reset": _reset,
-    "kill": _kill, "vanish": _vanish, "restart": _restart, "drain": _drain,
+    "kill": _kill, "vanish": _vanish, "restart": _restart, "drain": _drain, "lossy": _lossy,
+    "replace": _replace,
 }  # fmt: skip
--- a/anisespool/lab/world.py
+++ b/anisespool/lab/world.py
@@ -24,6 +24,7 @@
 from shuntlead.interface import EndpointState, RosterForm, Settings, Status
 
 BEGIN = 100 * SECOND  # virtual time at the start: no time is 0
+RESETS = 0.5  # of the answers that are lost: the others are silence
 SLACK_NS = 20 * MS  # of a final answer past its deadline
 Module = Callable[[Settings, int, "World"], Any]
 
@@ -36,8 +37,9 @@
 class Sidecar:
     """One module with its books."""
 
-    def __init__(self, number: int, zone: int, settings: Settings) -> None:
+    def __init__(self, number: int, zone: int, settings: Settings, place: int | None = None) -> None:
         self.number, self.zone, self.settings = number, zone, settings
+        self.place = number if place is None else place  # of its clients: another process may take it
         self.module: Any = None
         self.checker = Checker(settings, forgetful=True)
         self.idle: dict[int, int] = {}  # open connections at rest, by endpoint
@@ -58,7 +60,7 @@
         self._net, self.news = streams.named("network"), News(scenario, streams.named("membership"))
         self.begin, self.end = span_ns(scenario, BEGIN)
         self.tally = Tally(scenario, self.begin)
-        zones = sorted({e.spec.zone for e in self.endpoints})
+        zones = scenario.zones()
         self.open: dict[tuple[int, int], tuple[Wish, int, int]] = {}  # (sidecar, request): due, came
         self.jobs: dict[tuple[int, int, int], Job] = {}
         span = (BEGIN, self.begin, self.end)
@@ -68,6 +70,9 @@
             Sidecar(n, zones[n % len(zones)], settings(scenario, n, zones[n % len(zones)]))
             for n in range(scenario.sidecars)
         ]
+        self._at = list(range(scenario.sidecars))  # the process that serves each place's clients
+        self._cut: set[int] = set()  # zones that reach no other
+        self._lost = streams.named("lost")
 
     # The run --------------------------------------------------------------------------------------
 
@@ -93,7 +98,7 @@
         seed = self.seed * 1_000_003 + sidecar.number * 101 + sidecar.life
         sidecar.module = self._make(sidecar.settings, seed, self)
         sidecar.idle, sidecar.life = {}, sidecar.life + 1
-        revision = self.news.begins(sidecar.number, self.clock.now)
+        revision = self.news.begins(sidecar.place, self.clock.now)
         self.handle(sidecar, api.Roster(revision, RosterForm.CACHED, self._rows()))
 
     def log(self, *words: object) -> None:
@@ -114,14 +119,15 @@
     def _ask(self, wish: Wish) -> None:
         wish.tries += 1
         self._requests += 1
-        now, request, sidecar = self.clock.now, self._requests, self.sidecars[wish.sidecar]
+        now, request, sidecar = self.clock.now, self._requests, self.sidecars[self._at[wish.sidecar]]
         left = int(self.scenario.classes[wish.cls].deadline_ms * MS * wish.patience)
-        key = (wish.sidecar, request)
+        key = (sidecar.number, request)
         self.open[key] = wish, now + left, now
         self.tally.opened(now)
         self.log("ask", wish.number, wish.sidecar, wish.cls, wish.work_ns)
         self.clock.at(now + left + SLACK_NS, self._due, key)
-        self.handle(sidecar, api.Request(request, wish.cls, left, is_retry=wish.tries > 1))
+        event = api.Request(request, wish.cls, left, tenant=wish.tenant, is_retry=wish.tries > 1)
+        self.handle(sidecar, event)
 
     def _due(self, key: tuple[int, int]) -> None:
         must(key not in self.open, f"rule 1: request {key[1]} of sidecar {key[0]} was not answered in time")
@@ -136,6 +142,7 @@
         now, unsafe = self.clock.now, self.scenario.classes[wish.cls].effect == "once"
         must(not (unsafe and wish.runs), f"rule 2: wish {wish.number} was refused, and had run")
         wish.refused += 1
+        self.tally.tried(wish, True)
         if wish.told[1]:
             self.tally.honest[False] += 1
         wish.told = (now, wait)
@@ -147,6 +154,7 @@
         self.clock.after(max(pause, MS), self._ask, wish)
 
     def _failed(self, wish: Wish) -> None:
+        self.tally.tried(wish, False)
         again = self.scenario.classes[wish.cls].effect == "repeatable"
         if again and wish.tries < self.scenario.clients.tries:
             self.clock.after(max(int(self.scenario.clients.backoff_ms * MS), MS), self._ask, wish)
@@ -159,6 +167,7 @@
         now = self.clock.now
         if isinstance(event, api.Roster):
             sidecar.told |= {row.endpoint: row.started_ns for row in event.entries}
+            self._counts("lines", len(event.entries))
         sidecar.checker.event(now, event)
         actions = sidecar.module.handle(now, event)
         sidecar.checker.actions(now, actions)
@@ -200,11 +209,23 @@
         job = Job(sidecar.number, send.request, number, send.endpoint, now, wish.work_ns, wish, endpoint.life)
         self.jobs[sidecar.number, send.request, number] = job
         self.tally.attempts += 1
+        if endpoint.spec.zone != sidecar.zone:
+            self._counts("crossings")
         self.log("send", wish.number, send.endpoint)
         until = min(now + send.timeout_ns, due) if send.timeout_ns else due
         self.clock.at(until, self._give_up, job, Status.TIMEOUT)
         self._connect(sidecar, endpoint, job)
 
+    def _counts(self, what: str, amount: int = 1) -> None:
+        """What is priced; nothing is before the scenario's own time."""
+        if self.clock.now >= self.begin:
+            setattr(self.tally, what, getattr(self.tally, what) + amount)
+
+    def apart(self, sidecar: Sidecar, endpoint: Endpoint) -> bool:
+        """Whether nothing passes between the two."""
+        zone = endpoint.spec.zone
+        return sidecar.zone != zone and (sidecar.zone in self._cut or zone in self._cut)
+
     def hop(self, sidecar: Sidecar, endpoint: Endpoint) -> int:
         """One way between the two, this time."""
         wide = self.scenario.network.spread
@@ -217,16 +238,19 @@
         if idle:
             sidecar.idle[endpoint.id] = idle - 1
             job.connected = True
-            self.clock.after(hop, self.arrive, job)
+            if not self.apart(sidecar, endpoint):
+                self.clock.after(hop, self.arrive, job)
             return
         job.fresh = True
-        if ails.vanished or endpoint.fallen:
+        if ails.vanished or endpoint.fallen or self.apart(sidecar, endpoint):
             timeout = int(self.scenario.network.connect_timeout_ms * MS)
             self.clock.after(timeout, self._over, job, Status.CONNECT_FAILED)
         elif ails.dead or endpoint.connections >= endpoint.spec.connections:
             self.clock.after(2 * hop, self._over, job, Status.CONNECT_FAILED)
         else:
             endpoint.connections += 1
+            self._counts("handshakes")
+            job.work_ns += int(self.scenario.network.handshake_work_ms * MS)
             trips = 2 * self.scenario.network.handshake_trips * hop
             self.clock.after(trips, self._connected, sidecar, endpoint, job)
 
@@ -238,7 +262,8 @@
                 self._over(job, Status.CONNECT_FAILED)
             return
         job.connected = True
-        self.clock.after(self.hop(sidecar, endpoint), self.arrive, job)
+        if not self.apart(sidecar, endpoint):
+            self.clock.after(self.hop(sidecar, endpoint), self.arrive, job)
 
     def _give_up(self, job: Job, status: Status) -> None:
         """The sidecar stops waiting. What never had a connection has surely not run."""
@@ -263,6 +288,7 @@
             wish = self._close(key)
             if wish.told[1]:
                 self.tally.honest[True] += 1
+            self.tally.tried(wish, False)
             self.tally.end(wish, self.clock.now, "served")
         finished = key not in self.open
         took = self.clock.now - job.sent_at
@@ -274,7 +300,14 @@
         return self.sidecars[job.sidecar].told.get(endpoint.id) == endpoint.started
 
     def answer(self, endpoint: Endpoint, job: Job, status: Status, load: tuple[float, ...]) -> None:
-        hop = self.hop(self.sidecars[job.sidecar], endpoint)
+        sidecar, loses = self.sidecars[job.sidecar], endpoint.ails.loses
+        hop = self.hop(sidecar, endpoint)
+        if self.apart(sidecar, endpoint):
+            return
+        if loses and self._lost.uniform() < loses:  # a reset under it, or silence until the time is out
+            if self._lost.uniform() < RESETS:
+                self.clock.after(hop, self._over, job, Status.RESET)
+            return
         self.clock.after(hop, self._answered, endpoint, job, status, load)
 
     def _answered(self, endpoint: Endpoint, job: Job, status: Status, load: tuple[float, ...]) -> None:
@@ -297,19 +330,19 @@
         """A change reaches every sidecar in its own time."""
         endpoint.listed = state
         row = self._row(endpoint)
-        for number, at, revision in self.news.change(self.clock.now):
+        for place, at, revision in self.news.change(self.clock.now):
             event = api.Roster(revision, RosterForm.DELTA, (row,))
-            sidecar = self.sidecars[number]
+            sidecar = self.sidecars[self._at[place]]
             self.clock.at(at, self._told, sidecar, sidecar.life, event)
 
     def tell_all(self, rows: bool) -> None:
         """The whole list, or (a registry that was wiped) an empty one."""
         event = api.Roster(self.news.whole(), RosterForm.FULL, self._rows() if rows else ())
-        for sidecar in self.sidecars:
-            self.handle(sidecar, event)
+        for number in self._at:
+            self.handle(self.sidecars[number], event)
 
     def _told(self, sidecar: Sidecar, life: int, event: api.Roster) -> None:
-        if sidecar.life == life and self.news.takes(sidecar.number, event.version):
+        if sidecar.life == life and self.news.takes(sidecar.place, event.version):
             for row in event.entries:  # a new process: connections to the old one are gone
                 if row.state != EndpointState.READY or row.started_ns:
                     sidecar.idle.pop(row.endpoint, None)
@@ -329,9 +362,39 @@
     def set_rate(self, times: float) -> None:
         self.arrivals.rate = times
 
+    def set_tenant(self, number: int, times: float) -> None:
+        self.arrivals.tenant(number, times)
+
+    def shift(self, zone: int, times: float) -> None:
+        self.arrivals.shift(zone, times)
+
+    def cut(self, zone: int, begins: bool, until: int) -> None:
+        """What is under way stays lost; connections stay open, and are as good as new when it ends."""
+        (self._cut.add if begins else self._cut.discard)(zone)
+        if begins:
+            self.news.silent(until, [s.place for s in self.sidecars if s.zone == zone])
+
+    def replace(self, endpoint: Endpoint) -> Endpoint:
+        """Another machine, of the same group and another name, cold; the old one is on its way out."""
+        spec, draws = endpoint.spec, self._lost
+        speed = spec.speed * draws.uniform(1 - spec.speed_spread, 1 + spec.speed_spread)
+        new = Endpoint(len(self.endpoints) + 1, endpoint.kind, spec, self.scenario.rules, speed)
+        new.restart(self.clock.now)
+        self.endpoints.append(new)
+        return new
+
+    def roll_sidecar(self, place: int) -> None:
+        """A planned restart: another process serves that place's clients from now on, with the list as it
+        is; the old one answers what it has taken."""
+        old = self.sidecars[self._at[place]]
+        new = Sidecar(len(self.sidecars), old.zone, old.settings, place)
+        self.sidecars.append(new)
+        self._at[place] = new.number
+        self._begin(new)
+
     def restart_sidecar(self, number: int) -> None:
         """It is killed, and begins anew with the list as it is; what it held is for clients to repeat."""
-        sidecar = self.sidecars[number]
+        sidecar = self.sidecars[self._at[number]]
         for job in [job for job in self.jobs.values() if job.sidecar == sidecar.number]:
             job.over = True
             del self.jobs[job.sidecar, job.request, job.number]
