Draw from fewer endpoints, most of them near, and prefer connections at rest where these are priced

At fault: logic._eligible (12 endpoints and 3 s of requests, of any zone, so each is heard of every 4 s and met on a new connection) and logic._odds, which knew no price of a handshake.

--- a/shuntlead/interface.py
+++ b/shuntlead/interface.py
@@ -94,6 +94,7 @@
     warm_keys: bool = False
     tenants: tuple[Tenant, ...] = ()
     price_cross_zone: float = 0.0
+    price_handshake: float = 0.0
 
     @classmethod
     def from_dict(cls, raw: dict[str, Any]) -> Settings:
@@ -135,6 +136,7 @@
                 for t in root.children("tenants", required=False)
             ),
             price_cross_zone=prices.number("cross-zone", 0.0),
+            price_handshake=prices.number("handshake", 0.0),
         )
 
 
--- a/shuntlead/logic.py
+++ b/shuntlead/logic.py
@@ -16,13 +16,13 @@
 from shuntlead.admission import STEP, STRAIN_ALPHA, Admission, Fleet, Open, Rate, SideBySide, look_open
 from shuntlead.cold import COLD_SHARE, Pressure, cap
 from shuntlead.interface import NEVER_RAN, Effect, EndpointState, RosterForm, Status
+from shuntlead.reach import in_order, mix, reach
 
 ALPHA = 0.3  # weight of a new response time: the paper finds one sample enough, so a short memory
 FAIL_ALPHA = 0.6  # the same of a failure: rarer than answers, and worth more
 KIND_ALPHA = 0.1  # a kind's mean moves over some 10 answers: it stands for endpoints unheard of
 CLASS_ALPHA = 0.02  # a class's usual time moves over some 50 answers: slower than any endpoint's
 MAX_SLOWDOWN = 50.0  # bound on one sample, in usual response times: one stall must not starve for ever
-FEWEST = 12  # endpoints in a sidecar's draw, however little it sends: some of each zone and kind
 CLASS_MEMORY = 8  # an endpoint's answers in one class are rarer, and remembered that much longer
 PEERS = 4  # told the waits at a time, the first also of endpoints: one sidecar's waits are mostly chance
 PRICE_WAIT = 20.0  # a price of a whole request's worth weighs like waiting this many targets
@@ -39,10 +39,13 @@
 
 
 class Endpoint:
-    __slots__ = ("row", "id", "zone", "kind", "weight", "ready", "out", "slow", "slow_at", "by_class",
-                 "queue", "queue_at", "since", "warm_at", "ramp", "cores", "shown", "pressure")  # fmt: skip
+    __slots__ = ("row", "id", "zone", "kind", "weight", "ready", "out", "slow", "slow_at", "by_class", "idle",
+                 "order", "queue", "queue_at", "since", "warm_at", "ramp", "cores", "shown",
+                 "pressure")  # fmt: skip
 
-    def __init__(self, row: api.Listed, settings: api.Settings) -> None:
+    def __init__(self, row: api.Listed, settings: api.Settings, order: int) -> None:
+        self.order = order  # its place among others of its zone, this sidecar's own
+        self.idle = 0  # connections to it that should be at rest: the next attempt needs no handshake
         self.out: dict[tuple[int, int], Attempt] = {}  # by request and number
         self.slow = 1.0  # x_i: response times over what their requests usually take
         self.by_class: dict[int, tuple[float, int]] = {}  # the same of one class, and when
@@ -149,11 +152,11 @@
             if row.state != EndpointState.GONE:
                 # The same id with a new start is a new process: cold, and what was learned is void.
                 same = known if known and known.row.started_ns == row.started_ns else None
-                self.endpoints[row.endpoint] = same or Endpoint(row, self.settings)
+                order = mix(self.salt, row.endpoint)
+                self.endpoints[row.endpoint] = same or Endpoint(row, self.settings, order)
                 self.endpoints[row.endpoint].update(row)
-        self.ready = [e for e in self.endpoints.values() if e.ready]
-        # Danger: hundreds of sidecars with a connection to every endpoint fill its table. Each has an order.
-        self.ready.sort(key=lambda e: _mix(self.salt, e.id))
+        near = self.settings.zone if self.settings.price_cross_zone else None
+        self.ready = in_order([e for e in self.endpoints.values() if e.ready], near)
         self.mean_weight = sum(e.weight for e in self.ready) / max(1, len(self.ready)) or 1.0
         if not self.started:
             self.started = self.now
@@ -210,6 +213,7 @@
         s = self.settings
         took = usual * max(1.0, sum(self.kind_slow.values()) / max(1, len(self.kind_slow)))  # of late
         away = 1 + s.price_cross_zone * PRICE_WAIT * kind.target_ns / took
+        fresh = 1 + s.price_handshake * PRICE_WAIT * kind.target_ns / took
         warm, gather = self._warm(key, candidates), max(1.0, WARM_KEY * len(candidates))
         odds, cold = [], False
         for e in candidates:
@@ -219,6 +223,8 @@
                 e.ramp = s.start_capacity + (1 - s.start_capacity) * age / s.cold_ns
                 w /= e.ramp
                 cold = True
+            elif not e.idle:  # Danger: to one just started no connection is at hand, and none would ever be
+                w *= fresh
             if e.zone != s.zone:
                 w *= away
             odds.append(1 / max(w / gather if e is warm else w, 1e-9))
@@ -229,7 +235,7 @@
         if not key or not self.settings.warm_keys:
             return None
         near = [e for e in candidates if e.zone == self.settings.zone] or candidates
-        return max(near, key=lambda e: _mix(key, e.id))
+        return max(near, key=lambda e: mix(key, e.id))
 
     def _load(self, e: Endpoint) -> float:
         """L_i: the reported queue, faded by age toward the fleet's, and own sends since."""
@@ -256,7 +262,7 @@
 
     def _eligible(self, req: Pending) -> list[Endpoint]:
         # The first of this sidecar's own order: as many as it hears of often, as the design assumes.
-        ready = self.ready[: FEWEST + int(self.asked.read(self.now) * self.forget_ns)]
+        ready = self.ready[: reach(self.asked.read(self.now))]
         risky = req.risky()
         if risky and req.cls.effect is Effect.BY_KEY:
             # Danger: outside the group, or past its memory, a repeat is a second effect. A copy may need
@@ -371,6 +377,7 @@
         endpoint.out[req.id, len(req.attempts)] = attempt = Attempt(endpoint, self.now, usual)
         req.attempts.append(attempt)
         endpoint.since += 1
+        endpoint.idle = max(0, endpoint.idle - 1)
         if endpoint.pressure:
             endpoint.pressure.sent.add(self.now, usual)
         self.offered.add(self.now, usual)
@@ -426,6 +433,7 @@
             return
         attempt.open, attempt.may_have_run = False, event.status not in NEVER_RAN
         attempt.endpoint.out.pop((req.id, event.attempt), None)
+        self._count_idle(attempt.endpoint, event.status)
         if req.key and event.status in (Status.TIMEOUT, Status.RESET, Status.CANCELLED):
             self._rest(req.key)
         self._on_report(event)
@@ -445,6 +453,13 @@
         else:
             self._end(req)
 
+    def _count_idle(self, e: Endpoint, status: Status) -> None:
+        """An answer leaves its connection at rest. Where one broke, the others may have too."""
+        if status in (Status.OK, Status.ERROR, Status.FULL):
+            e.idle += 1
+        elif status in (Status.RESET, Status.CONNECT_FAILED):
+            e.idle = 0
+
     def _rest(self, key: int) -> None:
         """Danger: what timed out or broke may run on beside the next request of its key."""
         self.rests.pop(key, None)
@@ -506,10 +521,3 @@
             self._set_timer("probe", self.forget_ns // 10)
         elif req := self.pending.get(request):  # held
             self._attempt(req)
-
-
-def _mix(key: int, endpoint: int) -> int:
-    """A number that is the same at every sidecar and looks random."""
-    mixed = (key ^ endpoint * 0x9E3779B97F4A7C15) & 0xFFFFFFFFFFFFFFFF
-    mixed = (mixed ^ mixed >> 31) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
-    return mixed ^ mixed >> 29
