--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -1,4 +1,4 @@
-"""The standing days in the lab: what their troubles do, how they are weighed, what the module makes of them."""
+"""The standing days in the lab: what their troubles do, how they are weighed, what the module does there."""
 
 from __future__ import annotations
 
