Let the price of a handshake weigh five times as much, as it keeps to endpoints that answered

Five times is taken: past it an endpoint that lost its connection would hardly be tried again. Line at fault: logic._odds, `fresh` by PRICE_WAIT.

--- a/shuntlead/logic.py
+++ b/shuntlead/logic.py
@@ -26,6 +26,7 @@
 CLASS_MEMORY = 8  # an endpoint's answers in one class are rarer, and remembered that much longer
 PEERS = 4  # told the waits at a time, the first also of endpoints: one sidecar's waits are mostly chance
 PRICE_WAIT = 20.0  # a price of a whole request's worth weighs like waiting this many targets
+FRESH_WAIT = 100.0  # the price of a handshake more: where connections are, answers were good and are known
 WARM_KEY = 0.6  # odds of the endpoint likely to have met a key, against those of all others together
 RETRY_SHARE, RETRY_BURST = 0.2, 50.0  # re-sends per first attempt, and how many may be saved up
 PATIENCE = 4.0  # usual times that an attempt may take before another: lost answers against waste
@@ -213,7 +214,7 @@
         s = self.settings
         took = usual * max(1.0, sum(self.kind_slow.values()) / max(1, len(self.kind_slow)))  # of late
         away = 1 + s.price_cross_zone * PRICE_WAIT * kind.target_ns / took
-        fresh = 1 + s.price_handshake * PRICE_WAIT * kind.target_ns / took
+        fresh = 1 + s.price_handshake * FRESH_WAIT * kind.target_ns / took
         warm, gather = self._warm(key, candidates), max(1.0, WARM_KEY * len(candidates))
         odds, cold = [], False
         for e in candidates:
