Explore all interleavings of a small world of a pure protocol: anisespool lab explore

Need: the fleet's protocols to come are proven in every corner of a small world, not by luck; what stands (generations, waves) is the first to be asked. Change: lab/explore/: breadth-first search with hashed states, places taken for alike, shortest traces that can be walked again, "always able to recover"; a bag network with bounded losses and copies; worlds of rules/generations.py and the agent's waves, which move to rules/, where pure rules stand and the lab may import them. docs/fleetrig.md begins with it.

--- a/anisespool/agent/service.py
+++ b/anisespool/agent/service.py
@@ -16,9 +16,9 @@
 from anisespool.agent.store import Books, Change, Draft, StaleError, Store
 from anisespool.agent.v1 import agent_pb2 as pb
 from anisespool.agent.v1 import agent_pb2_grpc
-from anisespool.agent.waves import Policy, Standing, State
 from anisespool.config import operator
 from anisespool.config.platform import ConfigError
+from anisespool.rules.waves import Policy, Standing, State
 
 SHOWN_HISTORY = 20
 MOST_NAME = 200
--- a/anisespool/agent/store.py
+++ b/anisespool/agent/store.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple, TypeVar
 
-from anisespool.agent.waves import Policy, State
+from anisespool.rules.waves import Policy, State
 
 T = TypeVar("T")
 APPLICATION = 0x616E6973  # "anis": SQLite's application_id of our files
--- a/anisespool/cli/lab.py
+++ b/anisespool/cli/lab.py
@@ -14,6 +14,10 @@
 from anisespool.cli.client import CommandError, Exit
 from anisespool.lab import experiments, reality, scenario
 from anisespool.lab.experiments import Case
+from anisespool.lab.explore.generations import Generations
+from anisespool.lab.explore.net import Faults
+from anisespool.lab.explore.space import Explored, World, explore
+from anisespool.lab.explore.waves import Waves
 from anisespool.lab.observe import Seen, rows
 from anisespool.lab.policies import POLICIES
 from anisespool.lab.results import Result, Results
@@ -318,3 +322,38 @@
             show.out.print(f"{path}: {world.broken or 'kept'} (service {tally.service():.3f})", markup=False)
     if broken:
         raise typer.Exit(Exit.FAILED)
+
+
+@app.command("explore")
+def explore_(
+    protocol: Annotated[str, typer.Argument(help="generations or waves")],
+    members: Annotated[int, typer.Option(min=1, max=4)] = 2,
+    lost: Annotated[int, typer.Option(min=0, max=3, help="Messages that may be lost.")] = 1,
+    doubled: Annotated[int, typer.Option(min=0, max=3, help="Messages that may come twice.")] = 1,
+    restarts: Annotated[int, typer.Option(min=0, max=3)] = 1,
+    most: Annotated[int, typer.Option(min=1, max=5_000_000, help="States, at most.")] = 200_000,
+    json_: Json = False,
+) -> None:
+    """All interleavings of a small world of a protocol. Exit 1 and the shortest trace if one is wrong."""
+    faults = Faults(lost, doubled, restarts)
+    worlds: dict[str, Callable[[], World[Any]]] = {
+        "generations": lambda: Generations(members, 2, faults), "waves": lambda: Waves(members, 1, faults),
+    }  # fmt: skip
+    if protocol not in worlds:
+        raise CommandError(Exit.USAGE, f"no protocol {protocol!r}, there are {', '.join(worlds)}")
+    found = explore(worlds[protocol](), most)
+    if json_:
+        show.print_json(found._asdict())
+    else:
+        _explored(protocol, found)
+    if found.wrong:
+        raise CommandError(Exit.FAILED, found.wrong)
+
+
+def _explored(protocol: str, found: Explored) -> None:
+    table = show.table(protocol, "states", "steps", "depth", "all of it", "states a second")
+    whole = "yes" if found.whole else "no: raise --most, or lower the faults"
+    table.add_row(f"{found.states:,}", f"{found.steps:,}", str(found.depth), whole, f"{found.a_second:,.0f}")
+    show.out.print(table)
+    for number, label in enumerate(found.trace, 1):
+        show.out.print(f"{number:3}. {label}", markup=False)
--- /dev/null
+++ b/anisespool/lab/explore/__init__.py
@@ -0,0 +1,1 @@
+"""All interleavings of a small world of a pure protocol core: docs/fleetrig.md."""
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -10,7 +10,7 @@
 
 from anisespool.agent import store
 from anisespool.agent.store import Books, Draft, Sent, StaleError, Store, StoreError, open_store
-from anisespool.agent.waves import Policy, State
+from anisespool.rules.waves import Policy, State
 from tests.net import limited
 
 DRAFT = Draft("{}", "d", "me", "why", Policy(wave=3, most_unreachable=2, force=True), 250)
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -7,9 +7,9 @@
 import pytest
 from hypothesis import given, strategies
 
-from anisespool.agent.waves import Plan, Policy, Standing, State, Verdict, plan, steered, wanted
 from anisespool.rules.drains import effective, leaves_none
 from anisespool.rules.generations import Held, Judgement, Offer, judge
+from anisespool.rules.waves import Plan, Policy, Standing, State, Verdict, plan, steered, wanted
 from shuntlead.interface import EndpointState
 
 S = Standing
