Ask of a drained endpoint's test that nothing reaches it, not how often the other was

Checked: the log has 'endpoint 2: TIMEOUT', the drained one had none. Cause: the class may be repeated, its usual time is about 1 ms there, so an attempt is given up after 4 (logic._patience) and made again; a machine that holds the process up for that long does it. Line at fault: the test's, which counted what it does not claim.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -90,7 +90,8 @@
         it.discovery.say(site.member_list(3, [site.member("s-0", a.address), site.member("s-1", b.address)]))
         for n in range(40):
             assert (await exchange(it.address, raw_call(trace=f"t{n}"))).status == 200
-        assert (len(a.requests), len(b.requests)) == (0, 40)
+        # Not exactly: on a starved machine an answer is later than its usual 1 ms, and asked for once more.
+        assert not a.requests and len(b.requests) >= 40
         for verb, body, code in (
             ("drained", {"revision": 6, "ids": []}, "older"),
             ("drained", {"revision": 7, "ids": []}, "older"),
