Let the records' evening drain in whole pieces, so that no time decides its verdict

At fault: evening.py, _told, whose 20 s a receiver of single octets outlasted on such a machine. Change: once an evening is calm the receiver takes what there is; while it is troubled, as before, single octets. No check and no bound is other than it was.

--- a/anisespool/standins/evening.py
+++ b/anisespool/standins/evening.py
@@ -17,12 +17,12 @@
 from anisespool.records.recorder import Recorder
 from anisespool.rules.backoff import Backoff
 from anisespool.rules.recording import OUTCOMES, Sampling
-from anisespool.standins.syslog import Manners, Message, Receiver
+from anisespool.standins.syslog import MOST_PIECE, Manners, Message, Receiver
 from anisespool.wire.rfc5424 import Origin
 
 CLASSES = ("token-lookup", "send-one")
 PEN = "32473"
-LAST_S = 20.0  # for the last account, a receiver of one octet at a time is slow
+LAST_S = 20.0  # for the last account
 BUFFER = 16_384  # of the receiver, so that a stall is soon felt
 
 
@@ -96,7 +96,8 @@
 async def play(seed: int, boots: int = 3, steps: int = 40) -> Evening:
     """By TCP with octet counting: a fragment is seen as one."""
     random, found = Random(seed), Evening(seed)
-    receiver = Receiver(Manners(piece=random.choice((1, 7, 4096)), buffer=BUFFER))
+    piece = random.choice((1, 7, 4096))
+    receiver = Receiver(Manners(buffer=BUFFER))
     by_process: dict[str, Came] = {}
     receiver.on_message = lambda message: by_process.setdefault(message.procid, Came()).take(message)
     options = Records(
@@ -105,7 +106,7 @@
     )  # fmt: skip
     async with receiver.stream():
         for boot in range(boots):
-            made = recorder(boot, options)
+            made, receiver.manners.piece = recorder(boot, options), piece
             made.start(partial(Stream.open, receiver.address), Backoff(0.001, 0.02, random))
             for step in range(steps):
                 for n in range(random.choice((0, 1, 30, 300))):
@@ -145,6 +146,8 @@
 
 
 async def _calm(receiver: Receiver) -> None:
+    """Danger: a million single octets take longer on a slow machine than any stated time, which decided."""
+    receiver.manners.piece = MOST_PIECE
     receiver.read_on(True)
     if not receiver.listens:
         await receiver.come_back()
--- a/anisespool/standins/syslog.py
+++ b/anisespool/standins/syslog.py
@@ -234,13 +234,16 @@
         return rest[:size]
 
 
+MOST_PIECE = 65_536
+
+
 @dataclass
 class Manners:
     """How it treats its senders."""
 
     by_octets: bool = True
     reads: bool = True  # False: accepts, and never reads
-    piece: int = 65536  # octets taken at a time
+    piece: int = MOST_PIECE  # octets taken at a time, from now on
     reset_after: int = 0  # octets of a connection; 0: never
     buffer: int = 0  # SO_RCVBUF; 0: the kernel's
 
@@ -387,7 +390,7 @@
 
     def __init__(self, receiver: Receiver) -> None:
         self._receiver, self._frames = receiver, Frames(receiver.manners.by_octets)
-        self._buffer = memoryview(bytearray(receiver.manners.piece))  # asyncio's TLS slices it to write on
+        self._buffer = memoryview(bytearray(MOST_PIECE))  # asyncio's TLS slices it to write on
         self._transport: asyncio.Transport | None = None
         self._taken = 0
 
@@ -403,7 +406,7 @@
         (self._transport.resume_reading if self._receiver.manners.reads else self._transport.pause_reading)()
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return self._buffer
+        return self._buffer[: self._receiver.manners.piece]
 
     def buffer_updated(self, size: int) -> None:
         self._take(bytes(self._buffer[:size]))
