Put a faulty network between real processes: links, doors, datagrams, processes, statements

Need: nothing of ours stood between two processes, so a run with real ones refused partitions, vanished machines, pauses and replaced machines, and could say nothing of a fleet as a whole.

Change: scenarios have `[[links]]` (loss, bursts of loss, delay, spread, doubles, order, spoilt bytes, cuts in three ways, a bounded rate, flapping; between any two sides, one way or both) and `[[statements]]`; the same rules (`lab/links.py`) serve the model and real processes. A listener shut silently leaves new connections hanging; datagrams between sidecars pass through one socket each. Processes are stopped, starved, limited, killed and rolled; a warden ends them when the rig dies. Instances tell what they saw over the control socket (`/v1/events`), their own pauses among it; the wall clock is read in one place. The model plays links, pauses, absences and talk, and the search draws them.

Timers of one moment fire in any order in asyncio's heap, and the endpoints' process dropped a change that another of the same moment had overtaken (`served.py`, `_told`); changes to one sidecar now go from a queue.

--- a/anisespool/agent/service.py
+++ b/anisespool/agent/service.py
@@ -17,6 +17,7 @@
 from anisespool.agent.v1 import agent_pb2 as pb
 from anisespool.agent.v1 import agent_pb2_grpc
 from anisespool.config import operator
+from anisespool.config.clock import wall_ns
 from anisespool.config.platform import ConfigError
 from anisespool.rules.waves import Policy, Standing, State
 
@@ -66,7 +67,7 @@
         self.most, self.queues = most, set[asyncio.Queue[pb.Event | None]]()
 
     def tell(self, kind: str, subject: str, text: str) -> None:
-        event = pb.Event(at_ms=time.time_ns() // 1_000_000, kind=kind, subject=subject, text=text)
+        event = pb.Event(at_ms=wall_ns() // 1_000_000, kind=kind, subject=subject, text=text)
         for queue in list(self.queues):
             if queue.qsize() >= MOST_QUEUED:
                 self.queues.discard(queue)
--- a/anisespool/agent/store.py
+++ b/anisespool/agent/store.py
@@ -7,13 +7,13 @@
 
 import asyncio
 import sqlite3
-import time
 from collections import deque
 from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any, NamedTuple, TypeVar
 
+from anisespool.config.clock import wall_ns
 from anisespool.rules.waves import Policy, State
 
 T = TypeVar("T")
@@ -169,7 +169,7 @@
             whose = f"generation {current} by {newest.author}" if newest else "nothing yet"
             raise StaleError(f"the newest is {whose}, not {base}")
         db.execute("UPDATE changes SET state = 'superseded' WHERE state IN ('running', 'paused')")
-        generation, now = max(current, seen) + 1, time.time_ns() // 1_000_000
+        generation, now = max(current, seen) + 1, wall_ns() // 1_000_000
         policy = draft.policy
         db.execute(
             "INSERT INTO changes VALUES (?, ?, ?, ?, 'running', '', ?, ?, ?, ?, ?, ?, ?, ?, ?)",
@@ -193,7 +193,7 @@
 
     @staticmethod
     def note(db: sqlite3.Connection, generation: int, sent: Iterable[Sent]) -> None:
-        now = time.time_ns() // 1_000_000
+        now = wall_ns() // 1_000_000
         db.executemany(
             "INSERT OR REPLACE INTO targets VALUES (?, ?, ?, ?, ?, ?)",
             [(generation, s.name, s.boot, s.state, s.detail[:500], now) for s in sent],
@@ -220,7 +220,7 @@
         db: sqlite3.Connection, add: Iterable[str], take: Iterable[str], author: str, seen: int
     ) -> Drains:
         """`seen`: the highest revision that any instance has."""
-        now, before = time.time_ns() // 1_000_000, Store.drains(db)
+        now, before = wall_ns() // 1_000_000, Store.drains(db)
         db.executemany("INSERT OR IGNORE INTO drains VALUES (?, ?, ?)", [(e, author, now) for e in add])
         db.executemany("DELETE FROM drains WHERE endpoint = ?", [(e,) for e in take])
         revision = max(before.revision, seen) + 1
--- a/anisespool/cli/lab.py
+++ b/anisespool/cli/lab.py
@@ -197,18 +197,95 @@
         raise CommandError(Exit.FAILED, played.broken)
 
 
-def _played(title: str, made: scenario.Scenario, seed: int, quiet: bool) -> reality.Played:
+@app.command()
+def fleet(
+    name: Name, sidecars: Annotated[int, typer.Option(min=0, help="In place of the scenario's.")] = 0,
+    seed: Annotated[int, typer.Option(help="Decides what is asked, struck and lost.")] = 1,
+    spoilt: Annotated[str, typer.Option(help="A deliberate break, to see whether the rig finds it.")] = "",
+    history: Annotated[Path | None, typer.Option(help="Where all accounts go, joined: JSON lines.")] = None,
+    picture: Annotated[Path | None, typer.Option(help="Where the time line goes: one SVG file.")] = None,
+    set_: Set = [], json_: Json = False,  # noqa: B006
+) -> None:  # fmt: skip
+    """Many real processes and a faulty network between them. Exit 1 if a rule or a statement was broken."""
+    from anisespool.lab.fleet import draw, statements
+    from anisespool.lab.fleet import spoilt as breaks
+    from anisespool.lab.fleet.history import join
+    from anisespool.standins.talker import BREAKS as TALKER_BREAKS
+
+    title, made = _load(name, [*set_, *([f"sidecars={sidecars}"] if sidecars else [])])
+    known = TALKER_BREAKS if made.plays == "talkers" else ("", *breaks.BREAKS)
+    if spoilt not in known:
+        raise CommandError(Exit.USAGE, f"no break {spoilt!r}, there are {', '.join(known[1:])}")
+    played = _played(title, made, seed, json_, control=True, spoilt=spoilt)
+    account = join(made, played)
+    rulings = statements.judge(account)
+    if history:
+        account.write(history)
+    if picture:
+        picture.write_text(draw.time_line(account))
+    if json_:
+        kept = {"rules": played.broken or "kept", "statements": [ruling._asdict() for ruling in rulings]}
+        show.print_json(kept | {"figures": _fleet_figures(played)})
+    else:
+        _show_fleet(f"{name}: {made.asks}", played, account, rulings)
+    broken = [f"{ruling.says}: {ruling.figure}" for ruling in rulings if not ruling.kept]
+    if played.broken or broken:
+        raise CommandError(Exit.FAILED, "; ".join([*([played.broken] if played.broken else []), *broken]))
+
+
+def _fleet_figures(played: reality.Played) -> dict[str, Any]:
+    counts = played.counts
+    sums = {"ready_s": played.start_s, "late_ms": played.late_ms(), "stall_ms": counts["longest_stall"] / 1e6,
+            "cpu_s": sum(played.cpu_s), "memory_mb": played.memory_mb, "skipped": played.skipped,
+            "excused": played.excused, "links": counts["links"],
+            "datagrams": counts["passed"]["delivered"]}  # fmt: skip
+    return played.tally.figures() | sums
+
+
+def _show_fleet(title: str, played: reality.Played, account: Any, rulings: list[Any]) -> None:
+    table = show.table(title, "statement", "kept", "figure")
+    table.add_row("the four rules, no crash", "[red]no" if played.broken else "yes", played.broken or "")
+    for ruling in rulings:
+        table.add_row(ruling.says, "yes" if ruling.kept else "[red]no", ruling.figure)
+    show.out.print(table)
+    lines = show.table("Time line", "s", "until", "what")
+    for fault in account.faults():
+        lines.add_row(f"{fault.begin_s:g}", f"{fault.end_s:g}", fault.what)
+    show.out.print(lines)
+    figures = _fleet_figures(played)
+    text = f"ready in {figures['ready_s']:.1f} s; {figures['asked']} asked, "
+    text += f"{100 * figures['in_time']:.1f} % in time, "
+    text += f"{100 * figures['refused']:.1f} % refused, {100 * figures['failed']:.1f} % failed; sent "
+    text += f"{figures['late_ms']:.1f} ms late (p99), endpoints at most {figures['stall_ms']:.0f} ms; "
+    show.out.print(text + f"{figures['cpu_s']:.1f} s of CPU, {figures['memory_mb']:.0f} MB in all sidecars")
+
+
+def _played(
+    title: str, made: scenario.Scenario, seed: int, quiet: bool, control: bool = False, spoilt: str = ""
+) -> reality.Played:
     span = made.warm_s + made.seconds
     columns = (TextColumn("{task.description}"), BarColumn(), TimeRemainingColumn())
     try:
         reality.refuse(made, title)
         with Progress(*columns, console=show.out, transient=True, disable=quiet) as bar:
+            ready = bar.add_task("starting", total=made.sidecars)
             task = bar.add_task("real processes", total=span)
-            return asyncio.run(_with_beat(reality.play(made, seed), lambda: bar.advance(task, BEAT_S)))
+
+            def beat() -> None:
+                if bar.tasks[0].finished:
+                    bar.advance(task, BEAT_S)
+
+            play = reality.play(made, seed, control=control, spoilt=spoilt,
+                                progress=lambda stage, count: bar.update(ready, completed=count))  # fmt: skip
+            return asyncio.run(_with_beat(play, beat))
     except ScenarioError as error:
         raise CommandError(Exit.USAGE, str(error)) from None
     except VoidError as error:
         raise CommandError(Exit.FAILED, f"void: {error}") from None
+    except ExceptionGroup as group:
+        raise CommandError(
+            Exit.FAILED, f"real processes: {group.exceptions[0] or 'not ready in time'}"
+        ) from None
     except (OSError, RuntimeError, TimeoutError) as error:
         text = str(error) or "a sidecar was not ready in time"
         raise CommandError(Exit.FAILED, f"real processes: {text}; fewer sidecars may do") from None
--- a/anisespool/config/platform.py
+++ b/anisespool/config/platform.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
+from anisespool.config.clock import wall_ns
 from shuntlead import Settings, SettingsError
 from shuntlead.interface import EndpointState, Listed
 
@@ -173,7 +174,7 @@
         except (KeyError, TypeError):
             raise ConfigError(f"LB_CONFIG: key settings.{key}: names are needed") from None
 
-    epoch_ns = time.time_ns() - time.monotonic_ns()
+    epoch_ns = wall_ns() - time.monotonic_ns()
     classes, tenants = places("request-classes", True), places("tenants", True)
     return Names(classes, tenants, places("zones", False), places("skus", False), epoch_ns)
 
--- a/anisespool/control/desk.py
+++ b/anisespool/control/desk.py
@@ -11,6 +11,7 @@
 
 from anisespool import __version__
 from anisespool.config import operator
+from anisespool.config.clock import wall_ns
 from anisespool.config.operator import Document, OperatorFile
 from anisespool.config.platform import Address, Config, ConfigError
 from anisespool.control.server import Body, Refusal, Verb
@@ -50,13 +51,15 @@
         self._held = Held(0, operator.digest(Document()))
         self._drained, self._drains_revision = Drained(frozenset(file.endpoints.drained)), 0
         self._boot, self._started_ns = uuid4().hex[:16], time.monotonic_ns()
-        self._started_ms = time.time_ns() // 1_000_000
+        self._started_ms = wall_ns() // 1_000_000
+        self.events = sidecar.events
         self._described: tuple[int, dict[str, Any]] = (-FRESH_NS, {})
         self._members_of(file, "the operator's file")
         self._put()
         self.verbs: dict[tuple[str, str], Verb] = {
             ("GET", "/v1/state"): lambda body: self.state(),
             ("GET", "/v1/describe"): lambda body: self.describe(),
+            ("POST", "/v1/events"): self.tell_events,
             ("POST", "/v1/validate"): self.validate,
             ("POST", "/v1/apply"): self.apply,
             ("POST", "/v1/drain"): self.drain,
@@ -78,6 +81,13 @@
             "drained_fleet": sorted(self._drained.fleet), "drains_revision": self._drains_revision,
         }  # fmt: skip
 
+    def tell_events(self, body: Body) -> dict[str, Any]:
+        """What it saw after event number `after` (core/events.py), and its boot: numbers are of one life."""
+        number = body.get("after", 0)
+        if isinstance(number, bool) or not isinstance(number, int) or number < 0:
+            raise Refusal(400, "invalid", f"after: found {number!r}, wanted the number of an event"[:200])
+        return {"boot": self._boot} | self.events.after(number)
+
     def describe(self) -> dict[str, Any]:
         now = time.monotonic_ns()
         if now - self._described[0] >= FRESH_NS:
@@ -134,11 +144,13 @@
         self._may_drain(drained | self._drained.fleet | self._drained.here, body)
         self._now, self._held = file, Held(offer.generation, offer.digest)
         self._drained.document = drained
+        self.events.add("applied", generation=offer.generation)
         self._put()
         return self.state() | {"changed": True}
 
     def drain(self, body: Body) -> dict[str, Any]:
         """The instance itself, as SIGTERM does."""
+        self.events.add("drain")
         self._steering.stop()
         return self.state()
 
@@ -211,6 +223,8 @@
 
     def _tell_drained(self) -> None:
         """Whoever drains what: it holds from now on, and the next description shows it."""
+        if self._drained.all != self._sidecar.drained:
+            self.events.add("drained", ids=sorted(self._drained.all)[:MOST_SHOWN])
         self._sidecar.drain(self._drained.all)
         self._described = (-FRESH_NS, {})
 
--- a/anisespool/core/observed.py
+++ b/anisespool/core/observed.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import hashlib
 from typing import Any
 
-from anisespool.config.platform import Config
+from anisespool.config.platform import Config, MemberList
 from anisespool.core.call import Answer
+from anisespool.core.events import Events
 from anisespool.core.sidecar import Exchange, Sidecar
 from shuntlead import Settings
-from shuntlead.interface import EndpointState
+from shuntlead.interface import EndpointState, RosterForm
 from shuntlead.view import ModuleView, look, retune
 
 OUTCOMES = {200: "served", 503: "refused"}  # any other answer: failed
@@ -20,6 +22,8 @@
     def __init__(self, config: Config, backs: Any) -> None:
         super().__init__(config, backs)
         kinds = ("served", "refused", "failed", "gone")
+        self.events = Events()
+        self._shown = ""  # the list as the last event told it
         self.counts = [dict.fromkeys(kinds, 0) for _ in config.settings.classes]
 
     def _answer(self, exchange: Exchange, answer: Answer) -> None:
@@ -33,6 +37,16 @@
             self.counts[exchange.call.cls]["gone"] += 1
         super().client_gone(request_id)
 
+    def listed(self, update: MemberList, form: RosterForm | None = None) -> None:
+        """An event for each list that changes which endpoints are ready, with a digest that tells two views
+        apart."""
+        super().listed(update, form)
+        ready = sorted(self.listed_ready())
+        shown = hashlib.sha256("\0".join(ready).encode()).hexdigest()[:12]
+        if shown != self._shown:
+            self._shown = shown
+            self.events.add("list", revision=update.revision, ready=len(ready), view=shown)
+
     def module(self, now: int, most: int) -> ModuleView:
         return look(self._balancer, now, most)
 
--- a/anisespool/instance.py
+++ b/anisespool/instance.py
@@ -157,6 +157,7 @@
     from anisespool.control.desk import Desk
     from anisespool.control.place import prepare
     from anisespool.control.server import serve
+    from anisespool.core.events import watch_pauses
     from anisespool.core.observed import ObservedSidecar
 
     assert isinstance(sidecar, ObservedSidecar)
@@ -165,7 +166,8 @@
         return []
     folder = prepare(file.control.folder)
     served = serve(folder, config.name, file.control, desk.verbs)
-    return [asyncio.get_running_loop().create_task(served)]
+    loop = asyncio.get_running_loop()
+    return [loop.create_task(served), loop.create_task(watch_pauses(sidecar.events))]
 
 
 async def _reload(path: str, helm: Helm, asked: asyncio.Event) -> None:
--- a/anisespool/lab/backend.py
+++ b/anisespool/lab/backend.py
@@ -15,6 +15,8 @@
 from anisespool.lab.streams import Draws, Streams
 from shuntlead.interface import Status
 
+RESETS = 0.5  # of the answers that an endpoint in trouble loses: the others are silence
+
 
 class Ticks(Protocol):
     """A clock: virtual, or the machine's own."""
--- a/anisespool/lab/endpoint.py
+++ b/anisespool/lab/endpoint.py
@@ -32,6 +32,7 @@
     fresh: bool = False  # on a connection of its own
     running: bool = False
     stopped: bool = False  # a cancel reached it
+    held_until: int = 0  # a link keeps it on its way until then
 
 
 @dataclass
--- /dev/null
+++ b/anisespool/lab/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Many real processes and the faulty network between them: loopback only, without rights."""
--- /dev/null
+++ b/anisespool/lab/fleet/processes.py
@@ -0,0 +1,463 @@
+"""The processes of a run: started side by side, struck as the scenario says, and ended whatever happens.
+
+A warden, a process of its own, holds the numbers of all that were started and kills them when the rig ends,
+also when it is killed itself (its end of a pipe closes then). A number that was given to another process
+meanwhile is left alone: it is known by its start, as the kernel counts it (proc(5), field 22).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import resource
+import signal
+import sys
+import time
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from anisespool.config.platform import Address
+from anisespool.lab import scenario as scenarios
+from anisespool.lab.scenario import SECOND, Scenario, Trouble
+from anisespool.standins import controller, site
+
+READY_S = 30.0
+END_S = 6.0  # after SIGTERM: what was taken is answered within 4.5 s
+AT_ONCE = 16  # processes that start at the same moment: each costs 0.2 s of CPU
+SOCKETS = 4096
+STARVERS = 3  # neighbours of a starved process, on its core
+MOST_EVENTS = 20_000  # of one process, over all its lives
+ROUSE_NS = SECOND // 2  # after a silence of its own, a process may be as late as this again
+Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+def born(pid: int) -> int:
+    """When that process started, in the kernel's ticks; 0: there is none."""
+    try:
+        return int(Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[19])
+    except (OSError, IndexError, ValueError):
+        return 0
+
+
+def _core(number: int) -> int:
+    cores = sorted(os.sched_getaffinity(0))
+    return cores[number % len(cores)]
+
+
+class Warden:
+    """Kills what it was told of when its input ends."""
+
+    CODE = "from anisespool.lab.fleet.processes import ward; ward()"
+
+    def __init__(self) -> None:
+        self._process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", self.CODE, stdin=asyncio.subprocess.PIPE, start_new_session=True
+        )
+
+    def watch(self, pid: int) -> None:
+        assert self._process and self._process.stdin
+        self._process.stdin.write(f"{pid} {born(pid)}\n".encode())
+
+    async def end(self) -> None:
+        if self._process and self._process.stdin:
+            self._process.stdin.close()
+            await self._process.wait()
+
+
+def ward() -> None:
+    """The warden's own process."""
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
+    known = [tuple(map(int, line.split())) for line in sys.stdin]
+    for pid, start in known:
+        if start and born(pid) == start:
+            with suppress(OSError):
+                os.kill(pid, signal.SIGKILL)
+
+
+class Silence(NamedTuple):
+    """A span in which a process could not do what it owes, ns."""
+
+    begin: int
+    end: int
+    why: str
+
+
+@dataclass
+class Book:
+    """What happened to one process, as the rig did it and as the process told."""
+
+    silences: list[Silence] = field(default_factory=list)
+    events: list[dict[str, Any]] = field(default_factory=list)
+    dropped: int = 0  # events that had no room
+    crashed: str = ""
+
+    def was_silent(self, begin: int, end: int) -> bool:
+        """Whether it could not do what it owed at some time of that span."""
+        return any(begin < s.end + ROUSE_NS and s.begin < end for s in self.silences)
+
+    def was_silent_at(self, when: int) -> bool:
+        """Whether what came then may have lain unread."""
+        return any(s.begin <= when < s.end for s in self.silences)
+
+    def stalled(self, begin: int, end: int) -> bool:
+        """Whether the process found by itself that it had been kept from the processor then."""
+        found = (e for e in self.events if e["what"] == "stalled")
+        return any(begin < e["at_ns"] and e["at_ns"] - int(e["ms"] * 1e6) < end for e in found)
+
+
+class Member:
+    """A process of the fleet that lives under one name and address, and the connections of its client."""
+
+    def __init__(
+        self, number: int, folder: Path, warden: Warden, command: list[str], source: Path | None = None
+    ) -> None:
+        self.number, self.folder, self.book = number, folder / f"n{number}", Book()
+        self.folder.mkdir()
+        self.address = Address("", 0)
+        self.idle: list[Streams] = []
+        self.up = False  # its clients may ask
+        self.env: dict[str, str] = {}
+        self.process: asyncio.subprocess.Process | None = None
+        self._warden, self._command, self._source = warden, command, source
+        self._burners: list[asyncio.subprocess.Process] = []
+        self._ended_by_us, self._seen = False, 0
+
+    # Life -----------------------------------------------------------------------------------------
+
+    async def start(self) -> None:
+        """Once it is ready; TimeoutError if that takes too long."""
+        self._ended_by_us = False
+        with (self.folder / "log").open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, *self._command, env=os.environ | self.env, stderr=log,
+                stdout=self._stdout(), stdin=asyncio.subprocess.DEVNULL, cwd=self._source,
+            )  # fmt: skip
+        self._warden.watch(self.process.pid)
+        self._started()
+        async with asyncio.timeout(READY_S):
+            while not await self.ready():
+                if self.process.returncode is not None:
+                    raise RuntimeError(f"n{self.number} ended with {self.process.returncode} at its start")
+                await asyncio.sleep(0.02)
+        self.up = True
+
+    def _stdout(self) -> int | None:
+        return None
+
+    def _started(self) -> None:
+        """What a kind of member does as soon as its process runs."""
+
+    async def ready(self) -> bool:
+        raise NotImplementedError
+
+    def check(self) -> None:
+        """Whether it has ended by itself."""
+        process = self.process
+        if process and process.returncode is not None and not self._ended_by_us and not self.book.crashed:
+            self.book.crashed = f"n{self.number} ended by itself, with {process.returncode}"
+
+    def signal(self, number: signal.Signals) -> None:
+        if self.process:
+            with suppress(ProcessLookupError):
+                self.process.send_signal(number)
+
+    async def _gone(self, why: str, begin: int) -> None:
+        self.up = False
+        if self.process:
+            await self.process.wait()
+        for _, writer in self.idle:
+            writer.transport.abort()
+        self.idle.clear()
+        self.book.silences.append(Silence(begin, time.monotonic_ns(), why))
+
+    async def kill(self) -> None:
+        """Outright: what it held is for clients to repeat."""
+        begin, self._ended_by_us = time.monotonic_ns(), True
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        await self._gone("killed", begin)
+
+    async def terminate(self) -> None:
+        """In order: what it has taken is answered. Clients stop asking with the signal."""
+        begin, self._ended_by_us, self.up = time.monotonic_ns(), True, False
+        await self.gather()
+        self.signal(signal.SIGTERM)
+        if self.process:
+            try:
+                async with asyncio.timeout(END_S):
+                    await self.process.wait()
+            except TimeoutError:
+                self.book.crashed = self.book.crashed or f"n{self.number} still ran {END_S:g} s after SIGTERM"
+                self.signal(signal.SIGKILL)
+        await self._gone("", begin)
+        self.book.silences.pop()  # it owes all that it took: nothing is excused
+
+    async def freeze(self, until: int) -> None:
+        """SIGSTOP, and SIGCONT at `until` (monotonic ns)."""
+        begin = time.monotonic_ns()
+        self.signal(signal.SIGSTOP)
+        place = len(self.book.silences)
+        self.book.silences.append(Silence(begin, until, "frozen"))
+        await asyncio.sleep(max(0, until - time.monotonic_ns()) / 1e9)
+        self.signal(signal.SIGCONT)
+        self.book.silences[place] = Silence(begin, time.monotonic_ns(), "frozen")
+
+    async def starve(self, until: int) -> None:
+        """Neighbours that burn its core, until then."""
+        if not self.process:
+            return
+        begin, core = time.monotonic_ns(), _core(self.number)
+        with suppress(OSError):
+            os.sched_setaffinity(self.process.pid, {core})
+        for _ in range(STARVERS):
+            burner = await asyncio.create_subprocess_exec(sys.executable, "-c", "while True: pass")
+            os.sched_setaffinity(burner.pid, {core})
+            self._warden.watch(burner.pid)
+            self._burners.append(burner)
+        place = len(self.book.silences)
+        self.book.silences.append(Silence(begin, until, "starved"))
+        await asyncio.sleep(max(0, until - time.monotonic_ns()) / 1e9)
+        await self._burnt_out()
+        with suppress(OSError):
+            os.sched_setaffinity(self.process.pid, os.sched_getaffinity(0))
+        self.book.silences[place] = Silence(begin, time.monotonic_ns(), "starved")
+
+    async def _burnt_out(self) -> None:
+        for burner in self._burners:
+            with suppress(ProcessLookupError):
+                burner.kill()
+            await burner.wait()
+        self._burners.clear()
+
+    def limit(self, trouble: Trouble, lifted: bool) -> None:
+        """`size` descriptors, or MB, beyond what it has now and no more; lifted: as at its start."""
+        if not self.process:
+            return
+        place = Path(f"/proc/{self.process.pid}")
+        with suppress(OSError, ValueError):
+            if trouble.kind == "descriptors":
+                kind, has, unit = resource.RLIMIT_NOFILE, len(list((place / "fd").iterdir())), 1
+            else:
+                pages = int((place / "statm").read_text().split()[0])
+                kind, has, unit = resource.RLIMIT_AS, pages * os.sysconf("SC_PAGE_SIZE"), 2**20
+            soft, hard = resource.getrlimit(kind)
+            wanted = soft if lifted else has + int(trouble.size * unit)
+            resource.prlimit(self.process.pid, kind, (wanted, hard))
+
+    def jump(self, seconds: float) -> None:
+        """Its wall clock is that far off from now on."""
+        (self.folder / "clock").write_text(f"{seconds}")
+        self.signal(signal.SIGUSR2)
+
+    async def end(self) -> None:
+        self._ended_by_us = True
+        for _, writer in self.idle:
+            writer.close()
+        await self._burnt_out()
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        if self.process:
+            await self.process.wait()
+
+    # What it tells --------------------------------------------------------------------------------
+
+    async def ask(self, data: bytes, trace: bytes) -> tuple[int, float, bool]:
+        """A request of its client: status (0: no whole answer), seconds to come back (0: not told), whether
+        the body is this one's."""
+        raise NotImplementedError
+
+    async def gather(self) -> None:
+        """Its events so far."""
+
+    def heard(self, events: list[dict[str, Any]]) -> None:
+        room = MOST_EVENTS - len(self.book.events)
+        self.book.events.extend(events[:room])
+        self.book.dropped += max(0, len(events) - room)
+
+    def cpu_s(self) -> float:
+        """Of the process so far, user and system."""
+        return _stat(self.process)[0]
+
+    def memory_mb(self) -> float:
+        """Resident now."""
+        return _stat(self.process)[1]
+
+
+def _stat(process: asyncio.subprocess.Process | None) -> tuple[float, float]:
+    if process is None or process.returncode is not None:
+        return 0.0, 0.0
+    try:
+        parts = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
+    except OSError:
+        return 0.0, 0.0
+    cpu_s = (int(parts[11]) + int(parts[12])) / os.sysconf("SC_CLK_TCK")
+    return cpu_s, int(parts[21]) * os.sysconf("SC_PAGE_SIZE") / 2**20
+
+
+class Sidecar(Member):
+    """The program as the platform starts it; with `control`, by an operator's file, so that it tells
+    events."""
+
+    def __init__(
+        self, number: int, folder: Path, warden: Warden, scenario: Scenario,
+        found: tuple[list[Any], list[Any]], talk: dict[str, Any], control: bool = False,
+        spoilt: str = "", source: Path | None = None,
+    ) -> None:  # fmt: skip
+        command = ["-m", "anisespool"] if not spoilt else ["-m", "anisespool.lab.fleet.spoilt", spoilt]
+        super().__init__(number, folder, warden, command, source)
+        self._held = site.hold_port()
+        self.address = Address(*self._held.getsockname())
+        self._socket: Path | None = None
+        if control:
+            file = self.folder / "operator.toml"
+            file.write_text(f'[control]\nfolder = "{folder / "ctl"}"\n')
+            self._socket = folder / "ctl" / f"n{number}.sock"
+            self._command = [*command, "sidecar", "--config", str(file)]
+        raw = _settings(scenario, number)
+        discovery, members = found
+        listen = "{}:{}".format(*self.address)
+        self.env = site.write_config(
+            self.folder, Address(*discovery), members, raw, listen, f"n{number}", SOCKETS
+        )
+        if scenario.talk:
+            _add_talk(self.folder / "config.json", number, talk)
+
+    async def ready(self) -> bool:
+        try:
+            reader, writer = await asyncio.open_connection(*self.address)
+        except OSError:
+            return False
+        try:
+            writer.write(b"GET /healthz HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n")
+            return b" 200 " in await reader.readuntil(b"\r\n")
+        except (OSError, EOFError):
+            return False
+        finally:
+            writer.close()
+
+    async def gather(self) -> None:
+        if not self._socket or not self.process or self.process.returncode is not None:
+            return
+        with suppress(OSError, EOFError, TimeoutError, ValueError):
+            async with asyncio.timeout(READY_S):
+                status, told = await controller.ask(self._socket, "/v1/events", {"after": self._seen})
+            if status == 200:
+                self.heard(told["events"])
+                self.book.dropped += told["dropped"]
+                self._seen = told["next"]
+
+    def _started(self) -> None:
+        self._seen = 0
+
+    async def end(self) -> None:
+        await super().end()
+        self._held.close()
+
+    async def ask(self, data: bytes, trace: bytes) -> tuple[int, float, bool]:
+        for again in (False, True):
+            kept = bool(self.idle) and not again
+            streams = self.idle.pop() if kept else None
+            try:
+                streams = streams or await asyncio.open_connection(*self.address)
+                streams[1].write(data)
+                head = (await streams[0].readuntil(b"\r\n\r\n")).lower()
+                length = int(_field(head, b"content-length") or b"0")
+                body = await streams[0].readexactly(length) if length else b""
+            except asyncio.CancelledError:
+                if streams:
+                    streams[1].transport.abort()
+                raise
+            except (OSError, EOFError):
+                if streams:
+                    streams[1].transport.abort()
+                if kept:
+                    continue  # it may close one between requests: once more, on a new one
+                return 0, 0.0, False
+            if _field(head, b"connection") == b"close":
+                streams[1].close()
+            else:
+                self.idle.append(streams)
+            return int(head[9:12]), float(_field(head, b"retry-after") or b"0"), body == trace
+        return 0, 0.0, False
+
+
+def _field(head: bytes, name: bytes) -> bytes:
+    return head.partition(b"\r\n%s: " % name)[2].partition(b"\r\n")[0]
+
+
+def _settings(scenario: Scenario, number: int) -> dict[str, Any]:
+    raw = scenarios.raw_settings(scenario, number, scenario.places()[number])
+    kinds, most = len(scenario.endpoints), max(group.zone for group in scenario.endpoints)
+    raw |= {"zones": [f"z{n}" for n in range(most + 1)], "skus": [f"m{n}" for n in range(kinds)],
+            "tenants": raw["tenants"] or [{"name": "all", "share": 1.0, "quota-per-s": 1e9}]}  # fmt: skip
+    raw["allowed"]["keepalive-ns"] = 60 * SECOND
+    return raw
+
+
+def _add_talk(path: Path, number: int, talk: dict[str, Any]) -> None:
+    """Where the others are, as the platform's page has it."""
+    raw = json.loads(path.read_text())
+    raw["peers"] = ["{}:{}".format(*address) for address, _ in talk["places"]]
+    raw["peers_all"] = "{}:{}".format(*talk["all"])
+    raw["peer_listen"] = "{}:{}".format(*talk["places"][number][1])
+    path.write_text(json.dumps(raw))
+
+
+class Talker(Member):
+    """The stand-in of processes that gossip (standins/talker.py); its events come on its standard output."""
+
+    def __init__(
+        self, number: int, folder: Path, warden: Warden, talk: dict[str, Any], till: tuple[str, int],
+        budget: float, spoilt: str = "",
+    ) -> None:  # fmt: skip
+        super().__init__(number, folder, warden, ["-m", "anisespool.standins.talker"])
+        raw = {"number": number, "peers": [address for address, _ in talk["places"]], "budget": budget,
+               "listen": talk["places"][number][1], "till": till, "spoilt": spoilt}  # fmt: skip
+        path = self.folder / "talker.json"
+        path.write_text(json.dumps(raw))
+        self._command.append(str(path))
+        self._reading: asyncio.Task[None] | None = None
+        self._told = False
+
+    def _stdout(self) -> int | None:
+        return asyncio.subprocess.PIPE
+
+    def _started(self) -> None:
+        self._told = False
+        self._reading = asyncio.get_running_loop().create_task(self._read())
+
+    async def _read(self) -> None:
+        assert self.process and self.process.stdout
+        async for line in self.process.stdout:
+            with suppress(ValueError):
+                self.heard([json.loads(line)])
+                self._told = True
+
+    async def ready(self) -> bool:
+        return self._told
+
+    async def gather(self) -> None:
+        await asyncio.sleep(0)
+
+
+async def start_all(members: list[Member], on_start: Callable[[int], None] = lambda count: None) -> None:
+    """Some at a time, each within its limit; `on_start`: how many are ready so far."""
+    gate, ready = asyncio.Semaphore(AT_ONCE), 0
+
+    async def one(member: Member) -> None:
+        nonlocal ready
+        async with gate:
+            await member.start()
+        ready += 1
+        on_start(ready)
+
+    async with asyncio.TaskGroup() as group:
+        for member in members:
+            group.create_task(one(member))
--- /dev/null
+++ b/anisespool/lab/fleet/spoilt.py
@@ -0,0 +1,183 @@
+"""The program with one deliberate break, or with a wall clock that can be moved:
+`python -m anisespool.lab.fleet.spoilt BREAK [sidecar --config FILE]`.
+
+A rig that does not find these finds nothing. `sound` breaks nothing. Each break spoils one thing in a running
+process, where a slip in the program could: never the rig's own count of it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from anisespool import instance
+from anisespool.backs.attempt import Attempt
+from anisespool.backs.http1 import Endpoints
+from anisespool.config import clock
+from anisespool.core.call import Answer
+from anisespool.core.sidecar import Exchange, Sidecar
+from anisespool.membership.watch import Watch
+from shuntlead import Balancer
+from shuntlead import interface as api
+from shuntlead.interface import EndpointState, Status
+
+LAG_S = 0.3  # of what is sent late
+ONE_IN = 20  # of answers that are spoilt
+
+
+def sound() -> None:
+    """Nothing is wrong with it."""
+
+
+def resends_unsafe() -> None:
+    """After a reset an unsafe request goes out again, as if it could not have run."""
+    plain = Sidecar._ended
+
+    def ended(self: Sidecar, attempt: Attempt) -> None:
+        if attempt.status is Status.RESET:
+            attempt.status = Status.CONNECT_FAILED
+        plain(self, attempt)
+
+    _put(Sidecar, "_ended", ended)
+
+
+def refuses_risky() -> None:
+    """What may have run is refused: its client is told that trying again is harmless."""
+    _put(Sidecar, "_fail", lambda self, action: self._refuse(api.Refuse(action.request)))
+
+
+def ignores_drains() -> None:
+    """Endpoints that drain are taken for ready."""
+    plain = Balancer.handle
+
+    def handle(self: Balancer, now: int, event: api.Event) -> list[api.Action]:
+        if isinstance(event, api.Roster):
+            drains = EndpointState.DRAINING
+            rows = (r._replace(state=EndpointState.READY) if r.state == drains else r for r in event.entries)
+            event = event._replace(entries=tuple(rows))
+        return list(plain(self, now, event))
+
+    update = Endpoints.update
+    _put(Balancer, "handle", handle)
+    _put(
+        Endpoints,
+        "update",
+        lambda self, number, address, started, up: update(self, number, address, started, True),
+    )
+
+
+def keeps_first_list() -> None:
+    """The first list is the last: whatever discovery says later is not read."""
+    plain = Watch._on_line
+
+    def on_line(self: Any, line: bytes) -> None:
+        if not getattr(self, "has_list", False):
+            self.has_list = True
+            plain(self, line)
+
+    _put(Watch, "_on_line", on_line)
+
+
+def sends_what_was_given_up() -> None:
+    """Attempts wait a while on their way out, and leave whatever became of their requests meanwhile."""
+    plain = Endpoints.send
+
+    def late(self: Endpoints, attempt: Attempt) -> None:
+        if attempt.status is not None:
+            attempt.status = None
+        plain(self, attempt)
+
+    def send(self: Endpoints, attempt: Attempt) -> None:
+        asyncio.get_running_loop().call_later(LAG_S, late, self, attempt)
+
+    _put(Endpoints, "send", send)
+
+
+def answers_with_anothers() -> None:
+    """Now and then an answer carries the body of the one before."""
+    plain, last, count = Sidecar._answer, [b""], [0]
+
+    def answer(self: Sidecar, exchange: Exchange, found: Answer) -> None:
+        count[0] += 1
+        body, last[0] = last[0], found.body
+        spoilt = found.status == 200 and count[0] % ONE_IN == 0
+        plain(self, exchange, found._replace(body=body) if spoilt else found)
+
+    _put(Sidecar, "_answer", answer)
+
+
+def forgets_some() -> None:
+    """One request in twenty is never answered."""
+    plain, count = Sidecar._answer, [0]
+
+    def answer(self: Sidecar, exchange: Exchange, found: Answer) -> None:
+        count[0] += 1
+        if count[0] % ONE_IN == 0:
+            self._close(exchange)
+        else:
+            plain(self, exchange, found)
+
+    _put(Sidecar, "_answer", answer)
+
+
+def dies_of_a_reset() -> None:
+    """An attempt that is reset takes the process with it."""
+    plain = Sidecar._ended
+
+    def ended(self: Sidecar, attempt: Attempt) -> None:
+        if attempt.status is Status.RESET:
+            os._exit(3)
+        plain(self, attempt)
+
+    _put(Sidecar, "_ended", ended)
+
+
+def presses_the_cold() -> None:
+    """Every endpoint is taken for warm, and the one that started last for empty."""
+    plain, newest = Balancer.handle, [(0, 0)]
+
+    def handle(self: Balancer, now: int, event: api.Event) -> list[api.Action]:
+        if isinstance(event, api.Roster):
+            for row in event.entries:
+                if row.state == EndpointState.READY and row.started_ns > newest[0][0]:
+                    newest[0] = row.started_ns, row.endpoint
+            event = event._replace(entries=tuple(row._replace(started_ns=0) for row in event.entries))
+        number = newest[0][1]
+        return [a._replace(endpoint=number) if number and isinstance(a, api.Send) else a
+                for a in plain(self, now, event)]  # fmt: skip
+
+    _put(Balancer, "handle", handle)
+
+
+BREAKS: dict[str, Callable[[], None]] = {
+    "sound": sound, "resends-unsafe": resends_unsafe, "refuses-risky": refuses_risky,
+    "ignores-drains": ignores_drains, "keeps-first-list": keeps_first_list,
+    "sends-what-was-given-up": sends_what_was_given_up, "answers-with-anothers": answers_with_anothers,
+    "forgets-some": forgets_some, "dies-of-a-reset": dies_of_a_reset, "presses-the-cold": presses_the_cold,
+}  # fmt: skip
+
+
+def _put(owner: type, name: str, function: Callable[..., Any]) -> None:
+    setattr(owner, name, function)
+
+
+def _movable_clock() -> None:
+    """SIGUSR2: the wall clock is as far off as the file `clock` beside the configuration says."""
+    path = Path(os.environ["LB_CONFIG"]).parent / "clock"
+    signal.signal(signal.SIGUSR2, lambda number, frame: clock.shift(float(path.read_text())))
+
+
+def main(words: list[str]) -> int:
+    name, *rest = words
+    BREAKS[name]()
+    _movable_clock()
+    return instance.main(rest[2] if rest[:2] == ["sidecar", "--config"] else None)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/anisespool/records/recorder.py
+++ b/anisespool/records/recorder.py
@@ -14,6 +14,7 @@
 from zlib import crc32
 
 from anisespool.backs.attempt import Attempt
+from anisespool.config.clock import wall_ns
 from anisespool.config.operator import ClassSampling, Records
 from anisespool.config.operator import Sampling as SamplingFile
 from anisespool.config.platform import Address, Config, ConfigError, MemberList
@@ -53,7 +54,7 @@
 
     def __init__(
         self, form: Form, options: Records, sampling: Sampling, classes: tuple[str, ...] = (),
-        clock: Callable[[], int] = time.time_ns,
+        clock: Callable[[], int] = wall_ns,
     ) -> None:  # fmt: skip
         self._classes = classes
         self.account = Account()
--- a/anisespool/records/sender.py
+++ b/anisespool/records/sender.py
@@ -10,6 +10,7 @@
 from contextlib import suppress
 from typing import NamedTuple
 
+from anisespool.config.clock import wall_ns
 from anisespool.records.channels import Channel, TooLongError
 from anisespool.records.form import Form
 from anisespool.rules.backoff import Backoff
@@ -180,7 +181,7 @@
                 batch.append(record)
         if not batch and (self._closing and not self._last_told or now >= self._account_told_s + ACCOUNT_S):
             self._account_told_s, self._last_told = now, self._closing
-            unix_ns, dropped = time.time_ns(), self._backlog.dropped
+            unix_ns, dropped = wall_ns(), self._backlog.dropped
             batch.append(Told(self._form.account(self._account, dropped, self._closing, unix_ns)))
         return batch
 
@@ -206,7 +207,7 @@
         return told
 
     def _shown(self, what: Gap | Unsure, again: bool) -> bytes:
-        now = time.time_ns()
+        now = wall_ns()
         return self._form.gap(what, again, now) if isinstance(what, Gap) else self._form.unsure(*what, now)
 
     async def _write(self, channel: Channel, batch: list[Waiting]) -> None:
