Show who sees whom: anisespool peers, through control sockets and the agent

Need: an operator has to see whom each sidecar holds for alive, and a way that is cut in one direction.

Change: the agent asks all instances for their view (Peers); the command draws a matrix with marks, ages, health and counts, and ends with 3 while views differ; a member that answered its last probe through others alone is marked.

Measured: with one way cut among four real sidecars the matrix has the mark at that pair alone (test_members.py).

--- a/anisespool/agent/service.py
+++ b/anisespool/agent/service.py
@@ -24,6 +24,7 @@
 SHOWN_HISTORY = 20
 MOST_NAME = 200
 PROGRESS_S = 0.1  # between two lines of one stream
+ASKED_AT_ONCE = 32
 MOST_QUEUED = 256  # events that a watcher has not read
 DRAIN_S = 10.0  # a drain's stream ends by then, settled or not
 REACHES = {
@@ -110,6 +111,14 @@
         answer = await _asked(link, context, "GET", "/v1/describe")
         return pb.InspectReply(description_json=json.dumps(answer))
 
+    async def Peers(self, request: pb.PeersRequest, context: Context) -> AsyncIterator[pb.PeersReply]:
+        await self._reconciler.fleet.surveyed.wait()
+        pattern, links = request.pattern or "*", self._reconciler.fleet.links
+        chosen = [links[name] for name in sorted(links) if fnmatch.fnmatchcase(name, pattern)]
+        gate = asyncio.Semaphore(ASKED_AT_ONCE)
+        for task in [asyncio.ensure_future(_peers(link, gate)) for link in chosen]:
+            yield await task
+
     async def Status(self, request: pb.StatusRequest, context: Context) -> pb.StatusReply:
         reconciler = self._reconciler
         await reconciler.fleet.surveyed.wait()
@@ -341,6 +350,17 @@
     return link.reach is Reach.ANSWERS
 
 
+async def _peers(link: Link, gate: asyncio.Semaphore) -> pb.PeersReply:
+    """What it holds of the others, or why not."""
+    try:
+        async with gate:
+            return pb.PeersReply(name=link.name, peers_json=json.dumps(await link.ask("GET", "/v1/peers")))
+    except RefusedError:
+        return pb.PeersReply(name=link.name, detail="talks to nobody: no [peers], or not allowed")
+    except LinkError as error:
+        return pb.PeersReply(name=link.name, detail=str(error)[:200])
+
+
 async def _asked(
     link: Link, context: Context, method: str, verb: str, body: dict[str, Any] | None = None
 ) -> dict[str, Any]:
--- a/anisespool/cli/main.py
+++ b/anisespool/cli/main.py
@@ -14,7 +14,7 @@
 
 from anisespool import __version__
 from anisespool.agent.v1 import agent_pb2 as pb
-from anisespool.cli import show
+from anisespool.cli import matrix, show
 from anisespool.cli.client import CALL_S, CommandError, Exit, agent, author, load
 from anisespool.cli.trace import trace
 from anisespool.config import operator
@@ -128,6 +128,28 @@
         show.out.print(*show.description(data))
 
 
+@app.command(rich_help_panel="Look")
+def peers(
+    pattern: Annotated[str, typer.Argument(help="Instances, as a shell's pattern.")] = "*",
+    config: Config = None, json_: Json = False,
+) -> None:  # fmt: skip
+    """Whom each instance holds for alive, as a matrix: who sees whom, and ways cut in one direction. Status 3
+    while views differ."""
+    with agent(config) as stub:
+        replies = list(stub.Peers(pb.PeersRequest(pattern=pattern), timeout=CALL_S))
+    told = {reply.name: json.loads(reply.peers_json) for reply in replies if reply.peers_json}
+    silent = {reply.name: reply.detail for reply in replies if not reply.peers_json}
+    if json_:
+        for name, view in told.items():
+            show.print_json({"name": name} | view)
+        for name, detail in silent.items():
+            show.print_json({"name": name, "detail": detail})
+    else:
+        show.out.print(*matrix.draw(told, silent))
+    if len({matrix.key(view) for view in told.values()}) > 1:
+        raise typer.Exit(Exit.PARTLY)
+
+
 @app.command(rich_help_panel="Look")
 def status(
     generation: Annotated[int, typer.Argument(min=0, help="0: the newest.")] = 0,
--- a/anisespool/peers/life.py
+++ b/anisespool/peers/life.py
@@ -101,13 +101,14 @@
     def describe(self) -> dict[str, Any]:
         """For `anisespool peers`."""
         view, members = self.members.view(), self.members
+        around = members.around & (view.alive | view.suspect)
         return {
             "number": self._number, "boot": members.own.boot, "incarnation": members.own.incarnation,
-            "version": view.version, "age_ms": (time.monotonic_ns() - view.at) // MS,
+            "view": view.version, "age_ms": (time.monotonic_ns() - view.at) // MS,
             "alive": sorted(view.alive), "suspect": sorted(view.suspect), "gone": sorted(view.gone),
-            "left": sorted(view.left), "unheard": sorted(view.unheard), "low": view.low, "high": view.high,
-            "cut_off": view.is_cut_off, "in_vain": list(view.in_vain), "health": view.health,
-            "stats": dict(members.stats), "datagrams": dict(self._transport.counts),
+            "around": sorted(around), "left": sorted(view.left), "unheard": sorted(view.unheard),
+            "low": view.low, "high": view.high, "cut_off": view.is_cut_off, "in_vain": list(view.in_vain),
+            "health": view.health, "stats": dict(members.stats), "datagrams": dict(self._transport.counts),
         }  # fmt: skip
 
 
--- a/anisespool/rules/members/core.py
+++ b/anisespool/rules/members/core.py
@@ -107,6 +107,7 @@
         self._view: View | None = None
         self._to_sync: list[int] = []  # buckets that a newcomer still wants to compare
         self.leaving = False
+        self.around: set[int] = set()  # who answered the last probe through others alone: a way is cut
 
     # Time -----------------------------------------------------------------------------------------
 
@@ -226,6 +227,7 @@
 
     def _failed(self, now: int, probe: Probe) -> None:
         del self._probes[probe.seq]
+        self.around.discard(probe.target)
         self.health.probed(False, probe.vouched)
         claim = self.known.get(probe.target)
         if claim and claim.word < Word.GONE and now >= self._quiet_until:
@@ -355,6 +357,7 @@
         probe = self._probes.get(message.seq)
         if probe and message.target == probe.target:
             del self._probes[message.seq]
+            (self.around.discard if sender == probe.target else self.around.add)(probe.target)
             self.health.probed(True, False)
         relay = self._relays.pop(message.seq, None)
         if relay and relay[2] == sender:
--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -7,7 +7,19 @@
 import sys
 from collections.abc import Callable
 
-from benchmarks import admission, burst, decision, fleet, fleetrig, lab, overload, reality, records, standing
+from benchmarks import (
+    admission,
+    burst,
+    decision,
+    fleet,
+    fleetrig,
+    lab,
+    membership,
+    overload,
+    reality,
+    records,
+    standing,
+)
 from benchmarks.report import Report
 
 NAMES: dict[str, Callable[[], Report]] = {
@@ -17,6 +29,7 @@
     "fleet": fleet.main,
     "fleetrig": fleetrig.main,
     "lab": lab.main,
+    "membership": membership.main,
     "overload": overload.main,
     "reality": reality.main,
     "records": records.main,
--- a/tests/faults/test_members.py
+++ b/tests/faults/test_members.py
@@ -4,11 +4,14 @@
 
 import asyncio
 import json
+import os
+import sys
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from anisespool.cli import matrix
 from anisespool.lab import reality
 from anisespool.lab.fleet import statements
 from anisespool.lab.fleet.history import History, join
@@ -126,3 +129,52 @@
     assert "peers: off, as the platform's settings do not allow them" in seen[0] and seen[1] == 0
     assert seen[2][0] == 404 and not played.counts["passed"]["sent"][0]
     assert json.loads(json.dumps(seen[2][1]))["error"]["code"] == "unknown-verb"
+
+
+def test_the_matrix_shows_who_sees_whom_and_a_way_that_is_cut() -> None:
+    """Through control sockets, agent and command."""
+    shown: list[tuple[int, str, list[dict[str, Any]]]] = []
+
+    async def live(rig: Rig) -> None:
+        folder = rig.run.sidecars[0].folder.parent
+        file = folder / "agent.toml"
+        file.write_text(f'[control]\nfolder = "{folder / "ctl"}"\n[agent]\nstate = "{folder / "state"}"\n')
+        agent = await start("agent", "--config", str(file))
+        try:
+            await rig.until(2.5)  # every other has been probed since the cut
+            while not (folder / "state" / "agent.sock").exists():
+                await asyncio.sleep(0.05)
+            for words in ([], ["--json"]):
+                process = await start("peers", "--config", str(file), *words)
+                out, _ = await process.communicate()
+                lines = [json.loads(line) for line in out.splitlines()] if words else []
+                shown.append((process.returncode or 0, out.decode(), lines))
+        finally:
+            agent.kill()
+            await agent.wait()
+
+    cut = TALK | {"for_s": 6, "at_s": 0, "from": "sidecar:0", "to": "sidecar:1", "cut": "silent"}
+    raw = BASE | {"sidecars": 4, "seconds": 6, "links": [cut]}
+    assert not asyncio.run(reality.play(from_raw(raw, "x"), 2, control=True, live=live)).broken
+    (status, text, _), (_, _, told) = shown
+    assert status == 0 and "all of one view" in text and "Who sees whom" in text
+    assert [view["name"] for view in told] == ["n0", "n1", "n2", "n3"]
+    assert told[0]["alive"] == [0, 1, 2, 3] and told[0]["around"] == [1]
+    assert matrix.marks(told[0]) == "o/.." and matrix.marks(told[2]) == "..o."
+
+
+async def start(*words: str) -> asyncio.subprocess.Process:
+    wide = os.environ | {"COLUMNS": "200"}
+    command = (sys.executable, "-m", "anisespool", *words)
+    return await asyncio.create_subprocess_exec(*command, stdout=asyncio.subprocess.PIPE, env=wide)
+
+
+def test_marks_tell_every_state_and_views_that_differ() -> None:
+    view: dict[str, Any] = {"number": 2, "alive": [0, 1, 2], "around": [1], "suspect": [3], "gone": [4],
+                            "left": [5], "unheard": [6], "low": 3, "high": 5, "age_ms": 10, "health": 0,
+                            "in_vain": [5, 8], "cut_off": True, "datagrams": {},
+                            "stats": {"accusations": 0, "refutations": 0, "pauses": 0}}  # fmt: skip
+    assert matrix.marks(view) == "./o?x- "
+    other = view | {"suspect": [], "gone": [3, 4], "cut_off": False}
+    *_, said, off = matrix.draw({"a": view, "b": other}, {"c": "talks to nobody"})
+    assert "2 views differ" in str(said) and str(off) == "c: talks to nobody"
