Keep membership from storms where many are silent, and take accounts before they are lost

Seen on 200 real processes: a zone cut off made 167 datagrams a second a member, the network's process stood still for 1.6 s, and lateness looked like more silence. Most of it was help for each probe in vain, and probes begun at once after one.

The rig asks members every 4 s and before it kills them; ports of sockets to come lie below those that the kernel gives away (one of 200 was taken once).

--- a/anisespool/lab/fleet/datagrams.py
+++ b/anisespool/lab/fleet/datagrams.py
@@ -9,10 +9,13 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
+from random import Random
 from typing import Any, NamedTuple, Protocol
 
 from anisespool.lab.links import Links
@@ -20,7 +23,8 @@
 
 HOST = "127.0.0.1"
 MOST_BYTES = 256
-BATCH = 64  # datagrams read before other work gets its turn
+PORTS = (12_000, 32_000)  # below what the kernel gives away (32768 and above, where nobody has changed it)
+BATCH = 16  # datagrams read before other work gets its turn
 ALL = -1
 BUFFER = 2**21  # of each socket: what the kernel drops unseen would be taken for the scenario's loss
 SLOT_NS = 100_000_000  # of the log of who was heard
@@ -65,13 +69,13 @@
         self._sockets: list[socket.socket] = []
         self._senders: dict[tuple[str, int], int] = {}
         self.all: tuple[str, int] = ("", 0)
+        self._chance, self._given = Random(os.getpid()), set[int]()
 
     def open(self) -> None:
         loop = asyncio.get_running_loop()
         for number in range(len(self.nodes)):
-            sock, listen = _udp(), _udp()  # the second only finds a port, which its sidecar binds
-            place = Place(sock.getsockname(), listen.getsockname())
-            listen.close()
+            sock = _udp()
+            place = Place(sock.getsockname(), (HOST, self._port_to_come()))
             self.places.append(place)
             self._senders[place.listen] = number
             self._sockets.append(sock)
@@ -81,6 +85,19 @@
         self._sockets.append(everyone)
         loop.add_reader(everyone, self._read, everyone, ALL)
 
+    def _port_to_come(self) -> int:
+        """A port for a process to come. Danger: one of those that the kernel gives away may be given away
+        before it is bound; below them nobody takes one unasked."""
+        for _ in range(1000):
+            port = self._chance.randrange(*PORTS)
+            if port in self._given:
+                continue
+            self._given.add(port)
+            with suppress(OSError), socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+                sock.bind((HOST, port))
+                return port
+        raise OSError(f"no free UDP port between {PORTS[0]} and {PORTS[1]}")
+
     def close(self) -> None:
         for sock in self._sockets:
             asyncio.get_running_loop().remove_reader(sock)
--- a/anisespool/lab/fleet/processes.py
+++ b/anisespool/lab/fleet/processes.py
@@ -26,6 +26,7 @@
 from anisespool.standins import controller, site
 
 READY_S = 30.0
+ASKED_S = 0.3  # a member that is about to be killed, for what it saw
 END_S = 6.0  # after SIGTERM: what was taken is answered within 4.5 s
 AT_ONCE = 8  # processes that start at the same moment: each costs 0.2 s of CPU
 BEHIND = 5  # nice value of members: where the machine is short, the rig that judges them goes first
@@ -192,7 +193,11 @@
         self.book.silences.append(Silence(begin, FOREVER, why))  # until it is ready again
 
     async def kill(self) -> None:
-        """Outright: what it held is for clients to repeat."""
+        """Outright: what it held is for clients to repeat. It is asked before what it saw."""
+        if not self.book.was_silent_at(time.monotonic_ns()):
+            with suppress(TimeoutError):
+                async with asyncio.timeout(ASKED_S):
+                    await self.gather()
         begin, self._ended_by_us = time.monotonic_ns(), True
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL)
@@ -364,11 +369,13 @@
             return
         with suppress(OSError, EOFError, TimeoutError, ValueError):
             async with asyncio.timeout(READY_S):
-                status, told = await controller.ask(self._socket, "/v1/events", {"after": self._seen})
-            if status == 200:
-                self.heard(told["events"])
-                self.book.dropped += told["dropped"]
-                self._seen = told["next"]
+                while True:  # an answer holds only so many
+                    status, told = await controller.ask(self._socket, "/v1/events", {"after": self._seen})
+                    if status != 200 or not told["events"]:
+                        return
+                    self.heard(told["events"])
+                    self.book.dropped += told["dropped"]
+                    self._seen = told["next"]
 
     def _started(self) -> None:
         self._seen = 0
--- a/anisespool/lab/reality.py
+++ b/anisespool/lab/reality.py
@@ -36,6 +36,7 @@
 
 MOST_SIDECARS, MOST_ENDPOINTS = 200, 200
 MOST_TALKERS = 64  # in one datagram's table
+GATHER_NS = 4 * SECOND  # between two rounds of asking members what they saw
 LEAD_NS = SECOND // 2  # from the order to begin until the first request may be due
 SLACK_NS = 100 * MS  # a final answer past its deadline: the rule's 50 ms, and as much for this process
 SENT_ON_NS = 250 * MS  # an attempt past its client's time: beyond it nobody can have meant it
@@ -60,6 +61,7 @@
     strikes: list[Strike] = field(default_factory=list)
     books: list[Book] = field(default_factory=list)  # by sidecar
     skipped: int = 0  # wishes at a sidecar that was down: its application stops and starts with it
+    lost_events: int = 0  # that members told and nobody had room for: statements on views say less
     excused: int = 0  # late arrivals of sidecars that were themselves kept from the processor
     start_s: float = 0.0  # until all were ready
     memory_mb: float = 0.0  # of all sidecars at the end
@@ -140,6 +142,14 @@
             await _until(until)
             member.limit(strike.trouble, lifted=True)
 
+    async def gather(self) -> None:
+        """What members tell of themselves, until the end: each keeps only the last of it."""
+        while (now := time.monotonic_ns()) < self.end:
+            await _until(min(self.end, now + GATHER_NS))
+            for member in self.sidecars:
+                if member.up and not member.book.was_silent_at(time.monotonic_ns()):
+                    await member.gather()
+
     async def _start(self, member: Member) -> None:
         async with self._gate:
             await member.start()
@@ -230,6 +240,7 @@
         for sidecar in self.sidecars:
             if sidecar.book.crashed:
                 self._broke(f"crash: {sidecar.book.crashed}")
+            played.lost_events += sidecar.book.dropped
         played.borne, played.looks = counts["borne"], [Look(*look) for look in counts["looks"]]
         played.tally.attempts = counts["arrived"]
         stall_ms = counts["longest_stall"] / MS
@@ -370,7 +381,7 @@
         run.played.start_s = start_s
         run.strike_all()
         if control:
-            run.spawn(_until(run.end))  # what members tell of themselves goes on until then
+            run.spawn(run.gather())
         if live:
             run.spawn(live(Rig(endpoints, run)))
         await run.run(wishes)
--- a/anisespool/rules/members/core.py
+++ b/anisespool/rules/members/core.py
@@ -36,6 +36,7 @@
 from anisespool.rules.members.view import View
 
 ROOM = 17  # claims that fit into one datagram
+MANY = 8  # suspicions at a time: something is wrong with more than one member
 MOST_CALLS = 4  # at once, to those that are gone
 Choose = Callable[[int], int]  # a whole number below the given one, at random
 
@@ -127,7 +128,8 @@
         return min(self._times())
 
     def _times(self) -> Iterator[int]:
-        yield from self._due.values()
+        # Danger for the processor's time: nothing to tell is no reason to wake.
+        yield from (due for name, due in self._due.items() if name != "gossip" or self.news)
         yield from (probe.end_at if probe.asked else probe.ask_at for probe in self._probes.values())
         if self._suspicions:
             yield min(self._ripe_at(number) for number in self._suspicions)
@@ -172,10 +174,11 @@
             if not probe.asked and now >= probe.ask_at:
                 probe.asked = True
                 ask = self._say(now, Kind.ASK, seq=probe.seq, target=probe.target)
-                out += [Out(helper, ask) for helper in self._some(self.knobs.helpers, {probe.target})]
+                # Danger: where many are silent, help for each probe would be most of the traffic, and the
+                # lateness that it makes would look like more silence.
+                helpers = self.knobs.helpers if len(self._suspicions) < MANY else 1
+                out += [Out(helper, ask) for helper in self._some(helpers, {probe.target})]
                 out.append(Out(probe.target, self._ping(now, probe.seq, probe.target)))
-                # Where one is silent others may be: the next is not kept waiting.
-                self._due["probe"] = min(self._due["probe"], now)
             if now >= probe.end_at:
                 self._failed(now, probe)
                 out.append(Out(probe.target, self._ping(now, probe.seq, probe.target)))
@@ -228,7 +231,8 @@
     def _failed(self, now: int, probe: Probe) -> None:
         del self._probes[probe.seq]
         self.around.discard(probe.target)
-        self.health.probed(False, probe.vouched)
+        # Where many are silent it is a cut, or theirs: to accuse more slowly would help nobody.
+        self.health.probed(False, probe.vouched or len(self._suspicions) >= MANY)
         claim = self.known.get(probe.target)
         if claim and claim.word < Word.GONE and now >= self._quiet_until:
             self.stats["accusations"] += 1
@@ -255,8 +259,9 @@
             return []
         out = []
         # Danger: where many die at once their news wait for one another, longer than suspicions ripen.
-        if len(self.news) > ROOM or self.news.is_urgent:
-            self._due["gossip"] = now + self.knobs.urgent
+        if self.news.is_urgent or len(self.news) > ROOM:
+            pace = self.knobs.urgent * (1 if len(self.news) <= ROOM else 2)
+            self._due["gossip"] = now + min(self.knobs.gossip, pace)
         for target in self._some(self.knobs.fanout, set()):
             claims = self.news.take(ROOM, self.count, now)
             if claims:
@@ -411,7 +416,8 @@
             self._hold(now, claim._replace(word=Word.SUSPECT))
             self._note("suspected", member=claim.number, by=claim.accuser)
             # Some look for themselves, as many as it takes for `enough`: it must not wait for chance.
-            if claim.accuser != self.own.number and self._choose(self.count) < 3 * self.knobs.enough:
+            few = len(self._suspicions) < MANY
+            if few and claim.accuser != self.own.number and self._choose(self.count) < 3 * self.knobs.enough:
                 self._round.append(claim.number)
                 self._due["probe"] = min(self._due["probe"], now)
         if claim.accuser not in suspicion.accusers and len(suspicion.accusers) <= self.knobs.enough + 1:
--- a/anisespool/rules/members/news.py
+++ b/anisespool/rules/members/news.py
@@ -8,6 +8,7 @@
 from anisespool.rules.members.claims import AGE_NS, MOST_AGE, NOBODY, Claim, Word
 from anisespool.rules.members.knobs import Knobs
 
+URGENT = 3  # copies that go out without waiting
 CONFIRMED = 4  # copies of a further accuser's word: where many die, these are most of the news
 
 
@@ -29,8 +30,11 @@
 
     @property
     def is_urgent(self) -> bool:
-        """Whether somebody's life is in question: a suspicion, or what refutes one."""
-        return any(claim.word is Word.SUSPECT or claim.incarnation for claim, _, _ in self._sent.values())
+        """Whether somebody's life is in question: a suspicion, or what refutes one, that few have heard."""
+        return any(
+            sent < URGENT and (claim.word is Word.SUSPECT or claim.incarnation)
+            for claim, sent, _ in self._sent.values()
+        )
 
     def add(self, claim: Claim, since: int = 0) -> None:
         """`since`: when its suspicion began, which it tells as an age."""
