Let no liar and no clock shut a member out of membership, and wait for an address still held

Seen in a last reading: a boot far ahead, claimed of another, would make its own words look like those of an old life for good (`core.py`, heard); a restart whose clock was set back was ignored without a word until its old boot was gone; a socket that can't be bound ended the sidecar's start; an error in the timer would have spun at 500 calls a second.

--- a/anisespool/peers/life.py
+++ b/anisespool/peers/life.py
@@ -19,7 +19,8 @@
 from anisespool.rules.members.view import View
 
 EPOCH_S = 1_700_000_000  # boots are milliseconds since then: 40 bits last for 34 years
-LATEST_S = 0.02  # of the timer: it need not be called more often
+LEAST_S = 0.002  # between two calls of the timer
+AGAIN_S = 0.5
 LAST_S = 0.02  # after the last word, for it to leave
 
 
@@ -39,27 +40,37 @@
         self.members = Members(
             self._number, boot, len(place.peers), lambda below: chance.randrange(below), _knobs(file)
         )
-        try:
-            self._transport = Transport(place.listen, place.peers, file.most_per_s, self._heard)
-        except OSError as error:
-            raise ConfigError(f"LB_CONFIG: key peer_listen: {error}") from None
+        self._place, self._rate = place, file.most_per_s
+        self._transport: Transport | None = None
         self._shown = -1
         self._timer: asyncio.TimerHandle | None = None
         self.on_view: Callable[[View], None] | None = None
 
-    def start(self) -> None:
+    def start(self, complain: bool = True) -> None:
+        """Once its address is free: at a restart the old process may still hold it, and requests don't
+        wait."""
+        loop = asyncio.get_running_loop()
+        try:
+            self._transport = Transport(self._place.listen, self._place.peers, self._rate, self._heard)
+        except OSError as error:
+            if complain:
+                print(f"peers: {error}; tried again every {AGAIN_S} s", file=sys.stderr)
+            self._timer = loop.call_later(AGAIN_S, self.start, False)
+            return
         self._send(self.members.start(time.monotonic_ns()))
         self._later()
 
-    def _later(self) -> None:
+    def _later(self, wait_s: float = LEAST_S) -> None:
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_at(max(self.members.due / 1e9, loop.time() + LATEST_S / 10), self._tick)
+        self._timer = loop.call_at(max(self.members.due / 1e9, loop.time() + wait_s), self._tick)
 
     def _tick(self) -> None:
         try:
             self._send(self.members.tick(time.monotonic_ns()))
-        except Exception as error:  # Danger: what goes wrong here must not take requests with it
+        except Exception as error:  # Danger: what goes wrong here must not take requests with it, nor spin
             print(f"peers: {error!r}", file=sys.stderr)
+            self._later(AGAIN_S)
+            return
         self._later()
 
     def _heard(self, sender: int, message: Message) -> None:
@@ -69,7 +80,8 @@
             print(f"peers: from {sender}: {error!r}", file=sys.stderr)
 
     def _send(self, out: list[Out]) -> None:
-        for to, message in out:
+        for to, message in out if self._transport else ():
+            assert self._transport
             self._transport.send(to, message)
         self._tell()
 
@@ -89,14 +101,16 @@
         """The others are told; then the socket goes."""
         if self._timer:
             self._timer.cancel()
-        self._send(self.members.leave(time.monotonic_ns()))
+        if self._transport:
+            self._send(self.members.leave(time.monotonic_ns()))
         await asyncio.sleep(LAST_S)
         self.close()
 
     def close(self) -> None:
         if self._timer:
             self._timer.cancel()
-        self._transport.close()
+        if self._transport:
+            self._transport.close()
 
     def describe(self) -> dict[str, Any]:
         """For `anisespool peers`."""
@@ -108,7 +122,8 @@
             "alive": sorted(view.alive), "suspect": sorted(view.suspect), "gone": sorted(view.gone),
             "around": sorted(around), "left": sorted(view.left), "unheard": sorted(view.unheard),
             "low": view.low, "high": view.high, "cut_off": view.is_cut_off, "in_vain": list(view.in_vain),
-            "health": view.health, "stats": dict(members.stats), "datagrams": dict(self._transport.counts),
+            "health": view.health, "stats": dict(members.stats),
+            "datagrams": dict(self._transport.counts) if self._transport else {},
         }  # fmt: skip
 
 
--- a/anisespool/rules/members/core.py
+++ b/anisespool/rules/members/core.py
@@ -30,12 +30,13 @@
     refuted,
 )
 from anisespool.rules.members.health import Health
-from anisespool.rules.members.knobs import BUCKET, Knobs
+from anisespool.rules.members.knobs import BUCKET, MS, Knobs
 from anisespool.rules.members.messages import Kind, Message
 from anisespool.rules.members.news import News
 from anisespool.rules.members.view import View
 
 ROOM = 17  # claims that fit into one datagram
+AHEAD_MS = 24 * 3600 * 1000  # that clocks of two machines may be apart
 MANY = 8  # suspicions at a time: something is wrong with more than one member
 MOST_CALLS = 4  # at once, to those that are gone
 Choose = Callable[[int], int]  # a whole number below the given one, at random
@@ -103,6 +104,7 @@
         self._round: list[int] = []
         self._seq = 0
         self._due = dict.fromkeys(("probe", "gossip", "sync", "again"), 0)
+        self._began = 0
         self._quiet_until = 0  # no accusations before
         self._version = self._changed_at = 0
         self._view: View | None = None
@@ -118,7 +120,7 @@
             self._due[name] = now + self._choose(max(1, self.knobs.gossip))
         self._to_sync = list(range((self.count + BUCKET - 1) // BUCKET))
         self._quiet_until = now + self.knobs.period
-        self._changed_at = now
+        self._changed_at = self._began = now
         self.news.add(self.own)
         return self._gossip(now)
 
@@ -310,11 +312,15 @@
         if sender == self.own.number or not 0 <= sender < self.count or self.leaving:
             self.stats["ignored"] += 1
             return []
-        known = self.known.get(sender)
-        if known and message.boot < known.boot:
-            # Danger: an old life's datagram that comes late must not speak for the new one.
+        known, latest = self.known.get(sender), self._latest_boot(now)
+        if message.boot > latest:
             self.stats["ignored"] += 1
             return []
+        if known and message.boot < known.boot:
+            # Danger: an old life's datagram that comes late must not speak for the new one. But it may be one
+            # whose clock was set back: it is told, and goes beyond.
+            self.stats["ignored"] += 1
+            return [Out(sender, self._say(now, Kind.NEWS)._replace(claims=(known,)))]
         self._take(now, Claim(sender, message.boot, message.incarnation, Word.ALIVE))
         out: list[Out] = []
         held = self.known.get(sender)
@@ -322,7 +328,7 @@
             out.append(Out(sender, self._say(now, Kind.NEWS)._replace(claims=(held,))))
         own = self.own
         for claim in message.claims:
-            if 0 <= claim.number < self.count:
+            if 0 <= claim.number < self.count and claim.boot <= latest:
                 self._take(now, claim, sender)
             else:
                 self.stats["ignored"] += 1
@@ -331,6 +337,10 @@
         out += self._replied(now, sender, message)
         return out
 
+    def _latest_boot(self, now: int) -> int:
+        """Boots are counted in ms. Danger: whoever claimed a boot far ahead for another would shut it out."""
+        return self.own.boot + max(0, now - self._began) // MS + AHEAD_MS
+
     def _replied(self, now: int, sender: int, message: Message) -> list[Out]:
         if message.kind is Kind.PING:
             if message.target != self.own.number:
--- a/tests/faults/test_members.py
+++ b/tests/faults/test_members.py
@@ -5,22 +5,26 @@
 import asyncio
 import json
 import os
+import socket
 import sys
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 
 from anisespool.cli import matrix
+from anisespool.config.operator import Peers as PeersFile
 from anisespool.lab import reality
 from anisespool.lab.fleet import statements
 from anisespool.lab.fleet.history import History, join
 from anisespool.lab.reality import Played, Rig
 from anisespool.lab.scenario import from_raw
 from anisespool.lab.tally import VoidError
+from anisespool.peers.life import Peers
 from anisespool.standins import controller
 
-SEED, AT_ONCE, TRIES = 3, 4, 3
+SEED, AT_ONCE, TRIES = 3, 6, 3
 ZONED = [{"count": 2, "zone": zone} for zone in range(3)]
 BASE: dict[str, Any] = {
     "seconds": 11, "warm_s": 3, "sidecars": 9, "talk": True, "endpoints": ZONED, "traffic": {"per_s": 30},
@@ -178,3 +182,30 @@
     other = view | {"suspect": [], "gone": [3, 4], "cut_off": False}
     *_, said, off = matrix.draw({"a": view, "b": other}, {"c": "talks to nobody"})
     assert "2 views differ" in str(said) and str(off) == "c: talks to nobody"
+
+
+def test_an_address_that_is_still_held_is_waited_for(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """At a restart the old process may hold it a moment longer: no request waits for that."""
+    taken, other = (socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(2))
+    for sock in (taken, other):
+        sock.bind(("127.0.0.1", 0))
+    listen = "{}:{}".format(*taken.getsockname())
+    peers = [listen, "{}:{}".format(*other.getsockname())]
+    (tmp_path / "config.json").write_text(json.dumps({"peer_listen": listen, "peers": peers}))
+    settings = SimpleNamespace(self_index=0)
+    config = SimpleNamespace(path=str(tmp_path / "config.json"), seed=1, settings=settings)
+
+    async def run() -> None:
+        it = Peers(config, PeersFile(), lambda what, **fields: None)  # type: ignore[arg-type]
+        it.start()
+        assert it.describe()["datagrams"] == {}
+        taken.close()
+        while not it.describe()["datagrams"].get("sent"):
+            await asyncio.sleep(0.01)
+        await it.end()
+
+    asyncio.run(asyncio.wait_for(run(), 20))
+    assert capsys.readouterr().err.count("tried again") == 1 and other.recv(300)[0] == 0xA5
+    other.close()
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -168,6 +168,27 @@
     assert it.agree(ALL - {4}, ALL - {4})
 
 
+def test_a_clock_set_back_across_a_restart_keeps_nobody_out() -> None:
+    it = fleet()
+    it.kill(3)
+    it.run(0.2)
+    it.begin(3, 4)  # a boot before its last one
+    it.until_agreed(ALL, ALL, 4)
+    assert it.members[3].own.boot == 11 == it.members[0].known[3].boot
+
+
+def test_a_boot_far_ahead_that_a_liar_claims_shuts_nobody_out() -> None:
+    it = fleet()
+    for boot in (MOST_BOOT, 10 + 25 * 3600 * 1000):
+        it.members[0].heard(it.now, 19, Message(Kind.NEWS, 10, 0, claims=(Claim(4, boot, 0, Word.ALIVE),)))
+        it.members[0].heard(it.now, 19, Message(Kind.NEWS, boot, 0))
+    assert it.members[0].known[4].boot == it.members[0].known[19].boot == 10
+    lie = Claim(4, 5000, 0, Word.ALIVE)  # one that could be
+    it.members[0].heard(it.now, 19, Message(Kind.NEWS, 10, 0, claims=(lie,)))
+    it.run(3)
+    assert it.members[4].own.boot == 5001 == it.members[0].known[4].boot and it.agree(ALL, ALL)
+
+
 def test_most_killed_at_once_are_known() -> None:
     it = fleet()
     for number in range(6, 20):
