--- a/anisespool/peers/life.py
+++ b/anisespool/peers/life.py
@@ -16,7 +16,7 @@
 from anisespool.rules.members.core import Members, Out
 from anisespool.rules.members.knobs import MS, Knobs
 from anisespool.rules.members.messages import Message
-from anisespool.rules.members.view import View
+from anisespool.rules.members.view import View, ranges
 
 EPOCH_S = 1_700_000_000  # boots are milliseconds since then: 40 bits last for 34 years
 LEAST_S = 0.002  # between two calls of the timer
@@ -92,8 +92,8 @@
         view = self.members.view()
         if view.version != self._shown:
             self._shown = view.version
-            alive = sorted(view.alive | view.suspect)
-            self._on_event("view", view=_short(alive), alive=len(alive))
+            alive = view.alive | view.suspect
+            self._on_event("view", view=ranges(alive), alive=len(alive))
             if self.on_view:
                 self.on_view(view)
 
@@ -135,15 +135,3 @@
         gossip=int(file.gossip_ms * MS), fanout=file.fanout, pause=int(file.pause_ms * MS),
         grace=int(file.grace_ms * MS), sync=int(file.compare_ms * MS), again=int(file.again_ms * MS),
     )  # fmt: skip
-
-
-def _short(numbers: list[int]) -> str:
-    """`0-4,6`: a view of two hundred in a few bytes."""
-    parts: list[str] = []
-    for place, number in enumerate(numbers):
-        if place and numbers[place - 1] == number - 1:
-            first = parts[-1].partition("-")[0]
-            parts[-1] = f"{first}-{number}"
-        else:
-            parts.append(str(number))
-    return ",".join(parts)
--- a/anisespool/rules/members/view.py
+++ b/anisespool/rules/members/view.py
@@ -2,9 +2,23 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 
+def ranges(numbers: Iterable[int]) -> str:
+    """`0-4,6`: a view of two hundred in a few bytes."""
+    parts: list[str] = []
+    last = None
+    for number in sorted(numbers):
+        if last is not None and number == last + 1:
+            parts[-1] = f"{parts[-1].partition('-')[0]}-{number}"
+        else:
+            parts.append(str(number))
+        last = number
+    return ",".join(parts)
+
+
 class View(NamedTuple):
     """Numbers of members, each in one of these. `unheard`: nobody has said anything of them yet."""
 
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -14,6 +14,7 @@
 from anisespool.lab.fleet.history import History, join
 from anisespool.lab.scenario import from_raw
 from anisespool.lab.tally import VoidError
+from anisespool.rules.members.view import ranges
 from benchmarks import elsewhere
 from benchmarks.report import Report
 
@@ -40,7 +41,7 @@
     views = {member: "" for member in who}
     at = from_s
     held: dict[int, bool] = dict.fromkeys(who, False)
-    wanted = ",".join(_ranges(sorted(on)))
+    wanted = ranges(on)
     for told in history.told:
         if told.what != "view" or told.member not in views or told.at_s >= to_s:
             continue
@@ -51,16 +52,6 @@
     return at - from_s if all(view == wanted for view in views.values()) else float("inf")
 
 
-def _ranges(numbers: list[int]) -> list[str]:
-    parts: list[str] = []
-    for place, number in enumerate(numbers):
-        if place and numbers[place - 1] == number - 1:
-            parts[-1] = f"{parts[-1].partition('-')[0]}-{number}"
-        else:
-            parts.append(str(number))
-    return parts
-
-
 def known(history: History, member: int, from_s: float, to_s: float) -> list[float]:
     """Sorted seconds after `from_s` until each other told that the member is gone."""
     first: dict[int, float] = {}
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -4,7 +4,7 @@
 
 import heapq
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from itertools import count
 from random import Random
 from typing import Any
@@ -18,6 +18,7 @@
 from anisespool.rules.members.knobs import MS, SECOND, Knobs
 from anisespool.rules.members.messages import Kind, Message
 from anisespool.rules.members.news import News
+from anisespool.rules.members.view import ranges
 
 KNOBS = Knobs()
 CLAIMS = st.builds(
@@ -235,6 +236,13 @@
     assert not false
 
 
+@pytest.mark.parametrize(
+    ("numbers", "text"), [([], ""), ([3], "3"), ([2, 0, 1, 5, 7, 8], "0-2,5,7-8"), (range(200), "0-199")]
+)
+def test_a_view_is_told_in_ranges(numbers: Iterable[int], text: str) -> None:
+    assert ranges(numbers) == text
+
+
 def test_it_leaves_with_a_word() -> None:
     it = fleet()
     out = it.members[8].leave(it.now)
