Let several rigs on one machine hold their UDP ports apart, and cancel no run of the tests

Seen: of four test runs side by side three hung. A look into one (its tasks' stacks) showed one task, cancelling, in `reality.play`, with no child process left: another run had ended with an error, `gather` passed it on and asyncio.run cancelled the rest. The error fits two rigs that chose one port for a member to come (144 of 20,000 ports, drawn apart); that a cancelled ending waits for ever was seen, its line was not found.

Change: a port to come is held by an abstract Unix name that other rigs ask for too; the tests gather all results before they raise the first error.

--- a/anisespool/lab/fleet/datagrams.py
+++ b/anisespool/lab/fleet/datagrams.py
@@ -13,7 +13,6 @@
 import socket
 from collections import deque
 from collections.abc import Callable
-from contextlib import suppress
 from dataclasses import dataclass
 from random import Random
 from typing import Any, NamedTuple, Protocol
@@ -69,7 +68,7 @@
         self._sockets: list[socket.socket] = []
         self._senders: dict[tuple[str, int], int] = {}
         self.all: tuple[str, int] = ("", 0)
-        self._chance, self._given = Random(os.getpid()), set[int]()
+        self._chance, self._given, self._names = Random(os.getpid()), set[int](), list[socket.socket]()
 
     def open(self) -> None:
         loop = asyncio.get_running_loop()
@@ -93,15 +92,24 @@
             if port in self._given:
                 continue
             self._given.add(port)
-            with suppress(OSError), socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-                sock.bind((HOST, port))
-                return port
+            held = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
+            try:  # a name that other rigs on this machine ask for too, and that ends with this process
+                held.bind(f"\0anisespool-rig-{port}")
+                with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+                    sock.bind((HOST, port))
+            except OSError:
+                held.close()
+                continue
+            self._names.append(held)
+            return port
         raise OSError(f"no free UDP port between {PORTS[0]} and {PORTS[1]}")
 
     def close(self) -> None:
         for sock in self._sockets:
             asyncio.get_running_loop().remove_reader(sock)
             sock.close()
+        for name in self._names:
+            name.close()
 
     def _read(self, sock: socket.socket, receiver: int) -> None:
         for _ in range(BATCH):
--- a/tests/faults/test_breaks.py
+++ b/tests/faults/test_breaks.py
@@ -78,6 +78,14 @@
     raise AssertionError("unreachable")
 
 
+def _all(made: list[Any]) -> list[Any]:
+    """Danger: an error of one run must not cancel others that start or end processes."""
+    for one in made:
+        if isinstance(one, BaseException):
+            raise one
+    return made
+
+
 @pytest.fixture(scope="module")
 def found() -> dict[str, tuple[Played, History, str]]:
     """All runs, some at a time: what each was found by."""
@@ -91,7 +99,7 @@
                    "" if name == "sound talk" else name, gate)
             for name in FOUND
         ]  # fmt: skip
-        return await asyncio.gather(*runs)
+        return _all(await asyncio.gather(*runs, return_exceptions=True))
 
     made = {}
     for name, run in zip(FOUND, asyncio.run(all_of_them()), strict=True):
--- a/tests/faults/test_members.py
+++ b/tests/faults/test_members.py
@@ -23,6 +23,7 @@
 from anisespool.lab.tally import VoidError
 from anisespool.peers.life import Peers
 from anisespool.standins import controller
+from tests.faults.test_breaks import _all
 
 SEED, AT_ONCE, TRIES = 3, 6, 3
 ZONED = [{"count": 2, "zone": zone} for zone in range(3)]
@@ -90,7 +91,8 @@
 
     async def all_of_them() -> list[tuple[Played, History]]:
         gate = asyncio.Semaphore(AT_ONCE)
-        return await asyncio.gather(*(played(case, gate) for case in CASES.values()))
+        runs = (played(case, gate) for case in CASES.values())
+        return _all(await asyncio.gather(*runs, return_exceptions=True))
 
     return dict(zip(CASES, asyncio.run(all_of_them()), strict=True))
 
