Give the ending of a run with real processes a limit of time

Change: endings of members, endpoints and warden have ten seconds; the warden kills what is left by its mark.

--- a/anisespool/lab/reality.py
+++ b/anisespool/lab/reality.py
@@ -15,7 +15,7 @@
 import tempfile
 import time
 from collections import deque
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from functools import partial
@@ -37,6 +37,7 @@
 
 MOST_SIDECARS, MOST_ENDPOINTS = 200, 200
 MOST_TALKERS = 64  # in one datagram's table
+END_S = 10.0  # for all processes of a run to end
 GATHER_NS = 4 * SECOND  # between two rounds of asking members what they saw
 LEAD_NS = SECOND // 2  # from the order to begin until the first request may be due
 SLACK_NS = 100 * MS  # a final answer past its deadline: the rule's 50 ms, and as much for this process
@@ -333,7 +334,7 @@
     finally:
         with suppress(ProcessLookupError):
             process.kill()
-        await process.wait()
+        await _within(process.wait())
 
 
 def _say(process: asyncio.subprocess.Process, line: str) -> None:
@@ -374,7 +375,7 @@
                 make = partial(_member, Path(folder), warden, scenario, control, spoilt, source)
                 return await _play(scenario, seed, endpoints, progress, live, make, control)
         finally:
-            await warden.end()
+            await _within(warden.end())
 
 
 def _member(
@@ -416,13 +417,20 @@
         run.played.cpu_s = [sidecar.cpu_s() for sidecar in sidecars]
         run.played.memory_mb = sum(sidecar.memory_mb() for sidecar in sidecars)
     finally:
-        await asyncio.gather(*(sidecar.end() for sidecar in sidecars))
+        await _within(asyncio.gather(*(sidecar.end() for sidecar in sidecars)))
     assert endpoints.stdin
     endpoints.stdin.close()
     run.judge(await _hear(endpoints))
     return run.played
 
 
+async def _within(ending: Awaitable[Any]) -> None:
+    """Danger: an ending that was cancelled half-way was seen to wait for good. The warden ends the rest."""
+    with suppress(TimeoutError):
+        async with asyncio.timeout(END_S):
+            await ending
+
+
 class Rig:
     """What a run offers while it is played."""
 
