Name an endpoint's place on the network in one function, and only where links are on

Seen in a last reading: the same place was built in four spots, in the model for each request even without links; a header was read by two like functions; who is gone was asked with a condition that the next one already held.

Change: `backend.node_of` serves the model and the endpoints' process and is called only where there are links; `fleet.doors.field` is the one reader of a header. Behaviour is as it was.

Measured: members, links, standing, reality and rig tests, 135 passed.

--- a/anisespool/lab/backend.py
+++ b/anisespool/lab/backend.py
@@ -12,6 +12,7 @@
 from anisespool.lab.checker import must
 from anisespool.lab.endpoint import Endpoint, Job
 from anisespool.lab.scenario import MS, SECOND, Endpoints, Scenario
+from anisespool.lab.sides import Node
 from anisespool.lab.streams import Draws, Streams
 from shuntlead.interface import Status
 
@@ -125,6 +126,11 @@
         return tuple(self.scenario.reports.columns)
 
 
+def node_of(endpoint: Endpoint) -> Node:
+    """Where a link finds it."""
+    return Node("endpoint", endpoint.id - 1, endpoint.spec.zone)
+
+
 def hop_ns(scenario: Scenario, same_zone: bool, spread: float, delay: float) -> int:
     """One way between a sidecar and an endpoint; `spread` was drawn, `delay` is what ails the endpoint."""
     net = scenario.network
--- a/anisespool/lab/fleet/processes.py
+++ b/anisespool/lab/fleet/processes.py
@@ -22,6 +22,7 @@
 
 from anisespool.config.platform import Address
 from anisespool.lab import scenario as scenarios
+from anisespool.lab.fleet.doors import field as header
 from anisespool.lab.scenario import SECOND, Scenario, Trouble
 from anisespool.standins import controller, site
 
@@ -392,7 +393,7 @@
                 streams = streams or await asyncio.open_connection(*self.address)
                 streams[1].write(data)
                 head = (await streams[0].readuntil(b"\r\n\r\n")).lower()
-                length = int(_field(head, b"content-length") or b"0")
+                length = int(header(head, b"content-length") or b"0")
                 body = await streams[0].readexactly(length) if length else b""
             except asyncio.CancelledError:
                 if streams:
@@ -404,18 +405,14 @@
                 if kept:
                     continue  # it may close one between requests: once more, on a new one
                 return 0, 0.0, False
-            if _field(head, b"connection") == b"close":
+            if header(head, b"connection") == b"close":
                 streams[1].close()
             else:
                 self.idle.append(streams)
-            return int(head[9:12]), float(_field(head, b"retry-after") or b"0"), body == trace
+            return int(head[9:12]), float(header(head, b"retry-after") or b"0"), body == trace
         return 0, 0.0, False
 
 
-def _field(head: bytes, name: bytes) -> bytes:
-    return head.partition(b"\r\n%s: " % name)[2].partition(b"\r\n")[0]
-
-
 def _settings(scenario: Scenario, number: int) -> dict[str, Any]:
     raw = scenarios.raw_settings(scenario, number, scenario.places()[number])
     kinds, most = len(scenario.endpoints), max(group.zone for group in scenario.endpoints)
--- a/anisespool/lab/served.py
+++ b/anisespool/lab/served.py
@@ -26,7 +26,7 @@
 
 from anisespool.config.platform import Address
 from anisespool.lab import scenario as scenarios
-from anisespool.lab.backend import RESETS, Backend, hop_ns, span_ns
+from anisespool.lab.backend import RESETS, Backend, hop_ns, node_of, span_ns
 from anisespool.lab.checker import RuleError
 from anisespool.lab.endpoint import Endpoint, Job
 from anisespool.lab.fleet.books import Books
@@ -202,15 +202,12 @@
         found = "reset"
         for n, group in enumerate(self.groups):
             if group == door.group:
-                how = self.links.is_cut(now, self.nodes[n], self._node(door.endpoint), "requests")
+                how = self.links.is_cut(now, self.nodes[n], node_of(door.endpoint), "requests")
                 found = min(found, how, key=STRONGER.index)
                 if not found:
                     break
         return found
 
-    def _node(self, endpoint: Endpoint) -> Node:
-        return Node("endpoint", endpoint.id - 1, endpoint.spec.zone)
-
     def _bent(self, src: Node, dst: Node, link: Link) -> int | None:
         """How late a message on that connection is; None: the connection is reset."""
         if not self.links:
@@ -234,7 +231,7 @@
             self.wishes[number] = Wish(number, self._classes[cls], now, work_ns, sidecar, 1.0, False)
         grace = int(self.scenario.rules.drain_grace_ms * MS) + SLACK_NS
         since = self.barred[sidecar].get(endpoint.id)
-        late = self._bent(self.nodes[sidecar], self._node(endpoint), link)
+        late = self._bent(self.nodes[sidecar], node_of(endpoint), link)
         reached, barred = 0 if late is None else now + late, None if since is None else since + grace
         self.books.came(now, sidecar, endpoint, number, tries, (began_us, due_us), reached, barred)
         if late is None:
@@ -255,7 +252,7 @@
         now, endpoint = self.clock.now, self.endpoints[job.endpoint - 1]
         late: int | str = 0
         if self.links:
-            src, dst = self.nodes[job.sidecar], self._node(endpoint)
+            src, dst = self.nodes[job.sidecar], node_of(endpoint)
             late = self.links.stream(now, src, dst, 0, "requests")
         wait = max(0 if isinstance(late, str) else late, job.due_at + MS - now if job.late else 0)
         if wait:
@@ -273,7 +270,7 @@
             if self._lost.uniform() < RESETS and not job.over:
                 job.link.reset()
             return
-        late = self._bent(self._node(endpoint), self.nodes[job.sidecar], job.link)
+        late = self._bent(node_of(endpoint), self.nodes[job.sidecar], job.link)
         if late is None:
             return
         fields = ", ".join(f"{name}={figure:g}" for name, figure in zip(self.columns, load, strict=True))
--- a/anisespool/lab/world.py
+++ b/anisespool/lab/world.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from anisespool.lab.arrivals import Arrivals
-from anisespool.lab.backend import RESETS, Backend, hop_ns, span_ns
+from anisespool.lab.backend import RESETS, Backend, hop_ns, node_of, span_ns
 from anisespool.lab.checker import Checker, RuleError, must
 from anisespool.lab.clock import Clock
 from anisespool.lab.endpoint import Endpoint, Job
@@ -289,8 +289,9 @@
 
     def _connect(self, sidecar: Sidecar, endpoint: Endpoint, job: Job) -> None:
         hop, ails = self.hop(sidecar, endpoint), endpoint.ails
-        where = Node("endpoint", endpoint.id - 1, endpoint.spec.zone)
-        way = self.links.is_cut(self.clock.now, sidecar.node, where, "requests") if self.links else ""
+        way = ""
+        if self.links:
+            way = self.links.is_cut(self.clock.now, sidecar.node, node_of(endpoint), "requests")
         idle = sidecar.idle.get(endpoint.id, 0)
         if idle:
             sidecar.idle[endpoint.id] = idle - 1
@@ -324,17 +325,20 @@
         """The request on its way; a link may hold it, or end the connection under it."""
         if self.apart(sidecar, endpoint):
             return
-        late = self._bent(sidecar.node, Node("endpoint", endpoint.id - 1, endpoint.spec.zone))
+        late = self._bent(sidecar, endpoint)
         if late is None:
             self.clock.after(hop, self._over, job, Status.RESET)
             return
         job.held_until = self.clock.now + late if late else 0
         self.clock.after(hop + late, self.arrive, job)
 
-    def _bent(self, src: Node, dst: Node) -> int | None:
+    def _bent(self, sidecar: Sidecar, endpoint: Endpoint, back: bool = False) -> int | None:
         """How late a message on an open connection is, ns; None: the connection is reset."""
         if not self.links:
             return 0
+        src, dst = sidecar.node, node_of(endpoint)
+        if back:
+            src, dst = dst, src
         late = self.links.stream(self.clock.now, src, dst, MESSAGE_BYTES, "requests")
         return None if isinstance(late, str) else late
 
@@ -389,7 +393,7 @@
             if self._lost.uniform() < RESETS:
                 self.clock.after(hop, self._over, job, Status.RESET)
             return
-        late = self._bent(Node("endpoint", endpoint.id - 1, endpoint.spec.zone), sidecar.node)
+        late = self._bent(sidecar, endpoint, back=True)
         if late is None:
             self.clock.after(hop, self._over, job, Status.RESET)
         else:
--- a/anisespool/rules/members/core.py
+++ b/anisespool/rules/members/core.py
@@ -243,7 +243,7 @@
 
     def _call_gone(self, now: int) -> list[Out]:
         """Some of those that are gone or never heard of: a partition that ended, or somebody who is late."""
-        absent = [n for n in range(self.count) if n != self.own.number and not self._is_here(n)
+        absent = [n for n in range(self.count) if n != self.own.number
                   and (n not in self.known or self.known[n].word is Word.GONE)]  # fmt: skip
         if not absent:
             return []
