Lose nothing at an end: SIGTERM, clients that leave, idle connections, drains before the first byte

At fault, and how its test failed with the mend taken out: - fronts _answer while stopping closed with requests read ahead, half read or unread: "(200, False) == (200, True)". - close_if_idle, expire and making room closed on unread input: "Connection reset by peer". - stop and LAST_S = 4.0 knew one site's deadlines. The end now derives from the settings ("4.0 == 0.8"); what then still waits is answered by the driver, 503 where a retry is sure to be harmless ("[504] == [503]"), else 504. - a client that never reads its answer held the end (TimeoutError). - pause_reading at 9 requests hid the client's end ("[t0, t1, t1] == [t0, t1]"): 64 or 64 KiB are read ahead, and the end of one that is paused is looked for ten times a second. A client that ended its sending while its answers filled the way back was still worked for ("u1 sent"). Ruled out, tests kept: a client that leaves while a connection comes up; all orders of three of gone, overdue, drained, ending, refused in one turn (one answer, one status each, books empty); effects by method or name alone.

--- a/anisespool/backs/attempt.py
+++ b/anisespool/backs/attempt.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from anisespool.wire import http1
-from shuntlead.interface import Status
+from shuntlead.interface import NEVER_RAN, Status
 
 
 class Carrier(Protocol):
@@ -61,3 +61,10 @@
         if connection:
             connection.discard()
         self.end(Status.CONNECT_FAILED if unsent and status is Status.TIMEOUT else status)
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether nothing proves that it never did. Still open, it has not run while part of it is here."""
+        if self.status is not None:
+            return self.status not in NEVER_RAN
+        return self.connection is not None and not self.connection.unwritten
--- a/anisespool/backs/http1.py
+++ b/anisespool/backs/http1.py
@@ -29,19 +29,27 @@
         self.heard_ns = 0  # when anything last came from it
         self.idle: list[Connection] = []  # the latest used last
         self.waiting: set[Attempt] = set()  # for a connection of their own
+        self.working: set[Connection] = set()  # with an attempt
 
     def close_idle(self) -> None:
         idle, self.idle = self.idle, []
         for connection in idle:
             connection.discard()
 
+    def close_older(self, since: float) -> None:
+        """Those at rest since before then (loop time, s)."""
+        while self.idle and self.idle[0].idle_since < since:
+            self.idle.pop(0).discard()
+
     def retire(self) -> None:
-        """Drained, gone or replaced. Danger: an attempt that waits for a connection would arrive after the
-        news; it has not been sent, so the module may place it anew."""
+        """Drained, gone or replaced. Danger: an attempt that waits for a connection, or of which no byte has
+        left yet, would arrive after the news; it has not been sent, so the module may place it anew."""
         self.open_to_new = False
         self.close_idle()
         for attempt in list(self.waiting):
             attempt.end(Status.CONNECT_FAILED)
+        for connection in [c for c in self.working if c.untouched]:
+            connection.take_back()
 
 
 class Connection(asyncio.Protocol):
@@ -54,6 +62,7 @@
         self._transport: asyncio.Transport | None = None
         self._poll: select.poll | None = None
         self.unwritten = False  # part of the request has not left for the kernel: it can't have run
+        self._size = 0  # of the request
         self.idle_since = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -87,11 +96,21 @@
     def start(self, attempt: Attempt, data: bytes) -> None:
         assert self._transport
         self._attempt, attempt.connection = attempt, self
-        self._parser = http1.ResponseParser()
+        self._pool.working.add(self)
+        self._parser, self._size = http1.ResponseParser(), len(data)
         self._transport.write(data)
         # A write that fails at once leaves nothing in the buffer: the closing transport is what tells.
         self.unwritten = self.unwritten or self._transport.is_closing()
 
+    @property
+    def untouched(self) -> bool:
+        """No byte of the request has left for the kernel."""
+        return bool(self._transport and self._transport.get_write_buffer_size() >= self._size > 0)
+
+    def take_back(self) -> None:
+        """The request must not leave any more, and none of it has."""
+        self._end(Status.CONNECT_FAILED)
+
     def suspect(self, since_ns: int) -> None:
         """Danger: a machine that vanished leaves its connections open. A request written to an idle one
         would be lost to a time-out, or to a reset when the machine is back, and an unsafe one with it; a
@@ -135,6 +154,7 @@
         attempt, self._attempt = self._attempt, None
         assert attempt
         attempt.connection = None
+        self._pool.working.discard(self)
         self._drop_parser()
         if response:
             attempt.load = http1.parse_load(
@@ -149,6 +169,7 @@
     def discard(self) -> None:
         """Close without flushing: the rest of a given-up request must not leave."""
         self._attempt = None
+        self._pool.working.discard(self)
         self._drop_parser()
         self._owner.connections.discard(self)
         if self._transport:
@@ -229,7 +250,9 @@
         """The idle connection used last that has rested. Danger: some answers bring a second copy or noise
         right behind. Read as the answer to the next request it would be served to the wrong client; so the
         connection shows first that nothing more comes."""
-        latest = time.monotonic() - self._rest_s
+        now = time.monotonic()
+        pool.close_older(now - self._idle_s)  # Danger: between two sweeps the endpoint may have closed it
+        latest = now - self._rest_s
         for n in reversed(range(len(pool.idle))):
             if pool.idle[n].idle_since <= latest:
                 connection = pool.idle.pop(n)
@@ -247,7 +270,8 @@
             # By hand: the loop's own way looks the address up each time, at twice the cost.
             async with asyncio.timeout(self._connect_timeout_s):
                 await loop.sock_connect(sock, pool.address)
-                _, connection = await loop.create_connection(lambda: Connection(self, pool), sock=sock)
+            # Danger: past the time-out's reach. It would end one that has come up, with its socket half ours.
+            _, connection = await loop.create_connection(lambda: Connection(self, pool), sock=sock)
         except TimeoutError:
             if pool.heard_ns < attempt.started_ns:
                 pool.close_idle()  # as for Connection.suspect
@@ -297,8 +321,6 @@
     async def sweep(self) -> None:
         """Close idle connections well before the endpoint does."""
         while True:
-            await asyncio.sleep(SWEEP_S)
-            oldest = time.monotonic() - self._idle_s
+            await asyncio.sleep(min(SWEEP_S, self._idle_s / 4))
             for pool in self._pools.values():
-                while pool.idle and pool.idle[0].idle_since < oldest:
-                    pool.idle.pop(0).discard()
+                pool.close_older(time.monotonic() - self._idle_s)
--- a/anisespool/core/sidecar.py
+++ b/anisespool/core/sidecar.py
@@ -17,7 +17,7 @@
 from anisespool.rules.drains import effective
 from shuntlead import Balancer
 from shuntlead import interface as api
-from shuntlead.interface import EndpointState, RosterForm, Status
+from shuntlead.interface import Effect, EndpointState, RosterForm, Status
 
 ANSWER_RESERVE_NS = 10_000_000  # for the answer's way out: a client that has hung up was not answered
 BACKSTOP_NS = 4_000_000  # the last moment at which the driver answers by itself
@@ -44,6 +44,8 @@
 
     def __init__(self, config: Config, endpoints: Endpoints) -> None:
         self._balancer = Balancer(config.settings, config.seed)
+        self._classes = config.settings.classes
+        self._end_ns: int | None = None  # monotonic: all is answered by then, as the process ends
         self._endpoints = endpoints
         self._exchanges: dict[int, Exchange] = {}
         self._numbers: dict[str, int] = {}  # endpoint id -> its number; one that is gone never returns
@@ -70,11 +72,10 @@
         """A request has come; `reply` is called once, maybe before this returns."""
         self._next_request += 1
         request_id, now = self._next_request, time.monotonic_ns()
-        left_ns = max(0, call.left_ns - ANSWER_RESERVE_NS)
+        given_ns = call.left_ns if self._end_ns is None else min(call.left_ns, self._end_ns - now)
+        left_ns = max(0, given_ns - ANSWER_RESERVE_NS)
         exchange = self._exchanges[request_id] = Exchange(call, now + left_ns, reply)
-        loop = asyncio.get_running_loop()
-        last = now + max(0, call.left_ns - BACKSTOP_NS)
-        exchange.backstop = loop.call_at(last / 1e9, self._overdue, request_id)
+        self._set_backstop(request_id, exchange, now + max(0, given_ns - BACKSTOP_NS))
         event = api.Request(request_id, call.cls, left_ns, call.hint_ns, call.key, call.tenant, call.is_retry)
         self._handle(event)
         return request_id
@@ -86,6 +87,15 @@
             self._handle(api.ClientGone(request_id))
             self._abandon(request_id, exchange)
 
+    def end_by(self, end_ns: int) -> None:
+        """A planned end: whatever is still open then (monotonic ns) is answered then, however long its client
+        would wait."""
+        self._end_ns = end_ns
+        for request_id, exchange in self._exchanges.items():
+            if exchange.reply and exchange.deadline_ns > end_ns - ANSWER_RESERVE_NS:
+                exchange.deadline_ns = end_ns - ANSWER_RESERVE_NS
+                self._set_backstop(request_id, exchange, end_ns - BACKSTOP_NS)
+
     # From the operator ----------------------------------------------------------------------------
 
     def drain(self, drained: frozenset[str]) -> None:
@@ -266,15 +276,31 @@
         if exchange and exchange.reply is None and all(a.status is not None for a in exchange.attempts):
             del self._exchanges[request_id]
 
+    def _set_backstop(self, request_id: int, exchange: Exchange, at_ns: int) -> None:
+        if exchange.backstop:
+            exchange.backstop.cancel()
+        loop = asyncio.get_running_loop()
+        exchange.backstop = loop.call_at(at_ns / 1e9, self._overdue, request_id)
+
     def _overdue(self, request_id: int) -> None:
-        """Danger: a silent module would let the client's time run out. 504 promises nothing."""
+        """Danger: a silent module would let the client's time run out, or the process end without an
+        answer."""
         exchange = self._exchanges.get(request_id)
         if exchange and exchange.reply:
-            print("driver: a request was answered 504, as the module did not end it", file=sys.stderr)
-            self._answer(exchange, Answer(504, b"no answer in time\n"))
+            why = "the process ends" if self._end_ns is not None else "the module did not end it"
+            print(f"driver: a request was answered by itself, as {why}", file=sys.stderr)
+            self._answer(exchange, self._by_itself(exchange))
             self._handle(api.ClientGone(request_id))
             self._abandon(request_id, exchange)
 
+    def _by_itself(self, exchange: Exchange) -> Answer:
+        """503 where a retry is sure to be harmless, as the module's `_end` has it; 504 promises nothing."""
+        kind = self._classes[exchange.call.cls]
+        by_all = kind.effect is Effect.BY_KEY and kind.dedup_scope == "all"
+        if kind.effect is Effect.REPEATABLE or by_all or not any(a.may_have_run for a in exchange.attempts):
+            return Answer(503, b"no decision in time\n")
+        return Answer(504, b"no answer in time\n")
+
     def _give_up(self, request_id: int) -> None:
         exchange = self._exchanges.get(request_id)
         if exchange:
--- a/anisespool/fronts/http1.py
+++ b/anisespool/fronts/http1.py
@@ -24,22 +24,27 @@
 from shuntlead.interface import Effect
 
 BACKLOG = 512
-MOST_PIPELINED = 8  # requests read ahead on one connection
-HALF_WRITTEN_S = 1.0  # after the listener has closed
+MOST_AHEAD = 64  # requests read ahead on one connection
+MOST_BYTES_AHEAD = http1.MAX_BODY  # and bytes of their bodies: with hundreds of such clients memory is scarce
+HALF_WRITTEN_S = 1.0  # after the listener has closed; longer than good clients take over one
+LOOK_S = 0.01  # between two looks at what is left to do at the end
+FLUSH_S = 0.05  # between the last answer and the end
 ACCEPT_PAUSE_S = 0.05  # with no descriptor left
 READ_NS = 1_000_000  # a request that waited no longer has not waited
 LINGER_S = 1.0  # to let a client read why it was cut off
 SWALLOW_PAUSE_S = 0.004  # between two reads of what nobody wants any more
+# What a client may take over its own part. No setting tells of it, as deadlines begin with a request's last
+# byte. On the platform good clients may be slow, and bad ones are owed an end within 3 s.
 SILENT_S = 2.1  # for a first request
-HALF_SENT_S = 2.6  # for the rest of a request: good clients may be slow, bad ones are owed an end within 3 s
-KEPT_S = 10.0  # at rest after an answer
+HALF_SENT_S = 2.6  # for the rest of a request
+KEPT_S = 10.0  # at rest after an answer: a client whose connection has ended opens another
 UNREAD_S = 10.0  # an answer that its client does not read
 SWEEP_S = 0.1
 ASK_S = 0.2  # one that means to ask has done so by then
 LOOK = 16  # at so many, to find one that may go
 ACCEPTED_AT_ONCE = 8
-LONGEST_WAIT_MS = 3_600_000
-
+LONGEST_WAIT_MS = 3_600_000  # an hour: a client's figure is a figure, and timers have a range
+LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # seen also behind bytes that nobody has read
 
 PLAIN = re.compile(rb"[!-~]{1,200}")  # nothing else goes into an endpoint's head
 
@@ -58,7 +63,7 @@
         raise BadCall(HTTPStatus.METHOD_NOT_ALLOWED, "GET and POST are served")
     parts = [part for part in request.target.partition(b"?")[0].split(b"/") if part]
     name = parts[0] if parts else b""
-    cls = names.classes.get((unquote_to_bytes(name) if b"%" in name else name).decode("latin-1"))
+    cls = names.place(names.classes, unquote_to_bytes(name) if b"%" in name else name)
     if cls is None:
         raise BadCall(HTTPStatus.NOT_FOUND, "no such class of requests")
     headers, effect = request.headers, settings.classes[cls].effect
@@ -77,10 +82,11 @@
     if (left_ms := _number(headers, b"x-expires-in-ms")) is not None:
         left_ns = min(left_ms, LONGEST_WAIT_MS) * 1_000_000
     hint_us = _number(headers, b"x-size-hint")
+    tenant = names.place(names.tenants, headers.get(b"x-customer", b""))
     return Call(
         request=request,
         cls=cls,
-        tenant=names.tenants.get(headers.get(b"x-customer", b"").decode("latin-1"), len(names.tenants)),
+        tenant=len(names.tenants) if tenant is None else tenant,
         left_ns=left_ns,
         hint_ns=None if hint_us is None else hint_us * 1000,
         key=_key(parts[-1]) if keyed else 0,  # a digest is not cheap: only where it decides something
@@ -109,6 +115,7 @@
         self._server = server
         self._parser = http1.RequestParser()
         self._queue: deque[tuple[http1.Request, int]] = deque()  # with when it came
+        self._ahead = 0  # bytes of their bodies
         self._transport: asyncio.Transport | None = None
         self._busy = self._closing = False
         self._keep_alive = True
@@ -141,16 +148,23 @@
             return
         now = time.monotonic_ns()
         fresh = not self._parser.partial
-        self._queue.extend((request, now) for request in self._parser.feed(data))
+        for request in self._parser.feed(data):
+            self._queue.append((request, now))
+            self._ahead += len(request.body)
         if fresh and not self._busy:
             self._rested_s, self.quiet_since = now / 1e9 - self.quiet_since, now / 1e9
         if self._parser.wants_continue and self._transport and not self._busy:
             self._parser.wants_continue = False
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        if len(self._queue) > MOST_PIPELINED and self._transport:
+        if self._full and self._transport:
             self._transport.pause_reading()
+            self._server.unread.add(self)
         self._next()
 
+    @property
+    def _full(self) -> bool:
+        return len(self._queue) > MOST_AHEAD or self._ahead > MOST_BYTES_AHEAD
+
     def _swallow(self) -> None:
         """Danger: one that goes on sending at full speed after its error would take all of the CPU."""
         if self._transport and not self._transport.is_closing():
@@ -161,16 +175,34 @@
         if self._transport and not self._transport.is_closing():
             self._transport.resume_reading()
 
+    def eof_received(self) -> None:
+        """Danger: ending one's sending is going away, too, as the protocol's page knows no other way to tell
+        it. The transport closes, but only once its client has read what was answered before."""
+        self._leave()
+        self._server.rest(self)
+
     def connection_lost(self, exc: Exception | None) -> None:
-        self._closing = True
+        self._leave()
         self._server.forget(self)
         if not self._sent_away:
             self._server.resting.ended(self.habit)
         self._parser.close()
+
+    def _leave(self) -> None:
+        """The client has gone: nothing more is done for what it asked."""
+        self._closing = True
         self._queue.clear()
+        self._server.unread.discard(self)
         self._release_trace_id()
         if self._busy and self._current:
             self._server.sidecar.client_gone(self._current)
+            self._busy = False
+
+    def look_for_end(self) -> None:
+        """While it is not read, its client's end must be looked for."""
+        if self._polled(LEFT):
+            self.abort()
+            self._leave()
 
     def _next(self) -> None:
         """Work on what has been read, in order. A loop: an answer may come at once."""
@@ -180,8 +212,10 @@
                     self._reject(Answer(self._parser.error))
                 return
             request, came_ns = self._queue.popleft()
-            if self._transport and len(self._queue) <= MOST_PIPELINED:
+            self._ahead -= len(request.body)
+            if self._transport and not self._full:
                 self._transport.resume_reading()
+                self._server.unread.discard(self)
             self._busy, self._current, self._keep_alive = True, 0, request.keep_alive
             self.served = True
             self._server.resting.asked(self.habit, self._rested_s)
@@ -233,7 +267,7 @@
         self._release_trace_id()
         if self._closing or not self._transport:
             return
-        close = not self._keep_alive or self._server.stopping or not self._may_rest()
+        close = not self._keep_alive or (not self._more if self._server.stopping else not self._may_rest())
         self._transport.write(http1.encode_response(*answer, close))
         if close:
             self._closing = True
@@ -248,6 +282,12 @@
         self._sent_away = True
         return False
 
+    @property
+    def _more(self) -> bool:
+        """Its client has sent more than was answered. Danger: closed on that, the connection is reset, and
+        the answer just written with it; and once the listener is closed, there is none to ask again."""
+        return bool(self._queue) or self._parser.partial or self.unread
+
     def _reject(self, answer: Answer, request: http1.Request | None = None) -> None:
         """An error, and the end of the connection: kept, it would bring the same again at once. Danger:
         closing with input unread resets it, and the client never reads the answer. So end our side, and
@@ -281,21 +321,27 @@
     @property
     def unread(self) -> bool:
         """Something waits in the kernel to be read."""
+        return self._polled(select.POLLIN)
+
+    def _polled(self, events: int) -> bool:
         if not self._transport or self._transport.is_closing():
             return False
         poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        poll.register(self._transport.get_extra_info("socket").fileno(), events)
+        return any(seen & events for _, seen in poll.poll(0))
 
     def abort(self) -> None:
         self._closing = True
         if self._transport:
             self._transport.abort()
 
-    def close_if_idle(self) -> None:
-        if self.idle and self._transport:
-            self._closing = True
-            self._transport.close()
+    def close_if_idle(self) -> bool:
+        """Whether it was. Danger: what its client has written is a request taken, read or not."""
+        if not self.idle or not self._transport or self.unread:
+            return False
+        self._closing = True
+        self._transport.close()
+        return True
 
 
 class Server:
@@ -306,7 +352,8 @@
     ) -> None:
         self.sidecar, self.names, self.settings = sidecar, names, settings
         self.resting = Resting(descriptors)
-        self.stopping = False
+        self.stopping = False  # a connection ends with its answer
+        self.unread: set[ClientConnection] = set()  # paused: they have sent too much ahead
         self.kept_s = KEPT_S
         self.open_ids: set[bytes] = set()  # trace ids of the requests being worked on
         self.on_reject: Callable[[Answer, http1.Request | None], None] | None = None
@@ -357,8 +404,7 @@
     def _let_oldest_go(self) -> None:
         """The one longest at rest, unless its next request waits unread."""
         for connection in islice(self._kept, LOOK):
-            if connection.idle and not connection.unread:
-                connection.close_if_idle()
+            if connection.close_if_idle():
                 self.forget(connection)
                 return
 
@@ -379,15 +425,18 @@
         self._kept.pop(connection, None)
         self._working.discard(connection)
 
-    def listen(self, address: Address) -> Address:
-        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    def bind(self, address: Address) -> None:
+        """The address is ours; whoever connects is still refused."""
+        self._listener = listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.setblocking(False)
         listener.bind(address)
-        listener.listen(BACKLOG)
-        self._listener = listener
+
+    def listen(self) -> Address:
+        assert self._listener
+        self._listener.listen(BACKLOG)
         self._watch_listener()
-        return Address(*listener.getsockname())
+        return Address(*self._listener.getsockname())
 
     def _accept(self) -> None:
         """A few at a time: each may need room made for it, and that is free only after a turn of the loop."""
@@ -453,22 +502,26 @@
             self._let_silent_go(now)
             for connection in [*self._unproven, *self._kept]:
                 connection.expire(now)
+            for connection in list(self.unread):
+                connection.look_for_end()
 
     def _let_silent_go(self, now: float) -> None:
         """Danger: when those that say nothing fill what clients may hold, nobody else can arrive."""
         silent = [c for c in self._unproven if now - c.quiet_since > ASK_S and c.idle]
         for connection in silent[: max(0, int(self._count - self.resting.crowd))]:
-            if not connection.unread:
-                connection.close_if_idle()
+            if connection.close_if_idle():
                 self.forget(connection)
 
-    async def stop(self, accept_s: float) -> None:
-        """A planned restart: go on accepting for a while, then answer what was taken, and end."""
+    async def stop(self, accept_s: float, within_s: float) -> None:
+        """A planned restart: go on accepting for a while, then answer what was taken, and end; all of it
+        within so long, whatever the endpoints do and however long the clients would wait."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + within_s
         self.stopping = True
+        self.sidecar.end_by(int((end - FLUSH_S) * 1e9))
         # Clients use a connection for as long as it is open: closed now, they still find the listener.
         self._close_idle()
-        await asyncio.sleep(accept_s)
-        loop = asyncio.get_running_loop()
+        await asyncio.sleep(min(accept_s, within_s))
         if self._listener:
             loop.remove_reader(self._listener)
             self._accept_all()  # Danger: closing resets what still waits in the listener's queue
@@ -477,10 +530,13 @@
         if self._accepting:
             await asyncio.wait(self._accepting)
         # A request may be on its way in on any of those; a half-written one gets no longer than this.
-        half_written = loop.time() + HALF_WRITTEN_S
-        await asyncio.sleep(0.02)
-        while any(c.owed or not c.idle and loop.time() < half_written for c in self.connections):
-            await asyncio.sleep(0.01)
+        half_written = min(loop.time() + HALF_WRITTEN_S, end)
+        await asyncio.sleep(2 * LOOK_S)
+        while any(c.owed or not c.idle and loop.time() < half_written or c.unread for c in self.connections):
+            if loop.time() >= end:
+                print("server: ended with connections still in use", file=sys.stderr)
+                break
+            await asyncio.sleep(LOOK_S)
         self._close_idle()
         await asyncio.sleep(0)
 
--- a/anisespool/instance.py
+++ b/anisespool/instance.py
@@ -7,7 +7,8 @@
 import os
 import signal
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
 from typing import TYPE_CHECKING
 
 from anisespool.backs.http1 import Endpoints
@@ -15,15 +16,17 @@
 from anisespool.core.sidecar import Sidecar
 from anisespool.fronts.http1 import Server
 from anisespool.membership.watch import ASKED, PUSHED, Watch
-from shuntlead.interface import RosterForm
+from shuntlead.interface import RosterForm, Settings
 
 if TYPE_CHECKING:
     from anisespool.config.operator import OperatorFile, Sampling
     from anisespool.peers.life import Peers
     from anisespool.records.recorder import Recorder
 
-ACCEPT_S = 0.5  # after SIGTERM: new connections go on coming for up to 0.4 s
-LAST_S = 4.0  # then nothing taken can still be in time
+ACCEPT_S = 0.5  # after SIGTERM: new connections go on coming for up to 0.4 s (the protocol's page)
+# SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more (the same page).
+KILL_S, KILL_AT_MOST_S = 0.7, 3.0
+WAY_OUT_S = 0.1  # before that all is over
 COLLECT = (10_000, 20, 20)  # cycles are rare here: parsers let go of themselves
 SPARE_SOCKETS = 32  # descriptors for all but clients and endpoints, and for those on their way out
 CLIENTS_SHARE = 0.6  # of the others: many at rest beside those busy, of which each needs one to an endpoint
@@ -100,8 +103,9 @@
     recorder = _recorder(config, file) if file and file.records else None
     sidecar = _core(config, endpoints, file, recorder)
     sidecar.listed(config.known, RosterForm.CACHED)
+    pushed = settings.discovery == "push"
     watch = Watch(config.discovery, config.names, config.known.revision, sidecar.listed,
-                  PUSHED if settings.discovery == "push" else ASKED)  # fmt: skip
+                  PUSHED if pushed else ASKED)  # fmt: skip
     server = Server(sidecar, config.names, settings, most, config.sockets)
     server.on_reject = recorder.rejected if recorder else None
     helm = Helm(config, signals, sidecar, server, watch, recorder)
@@ -110,22 +114,24 @@
     tasks.append(loop.create_task(server.sweep()))
     peers: Peers | None = None
     try:
+        with _named_listen():
+            server.bind(config.listen)
         if file:
             peers = _peers(config, file, sidecar) if file.peers else None
             tasks.extend(_operate(config, file, sidecar, helm, peers))
-        try:
-            on_listening(server.listen(config.listen))
-        except OSError as error:
-            raise ConfigError(f"LB_LISTEN: {error}") from None
+        if pushed:
+            # Danger: what the agent has counts as told from the first moment, and the list we were given may
+            # be old. As long as a drain may be late we wait; without an agent the old list has to serve.
+            with suppress(TimeoutError):
+                await asyncio.wait_for(watch.first.wait(), settings.drain_grace_ns / 1e9)
+        with _named_listen():
+            on_listening(server.listen())
         gc.freeze()  # what start-up made stays for good: no collection need look at it
         gc.set_threshold(*COLLECT)
         await signals.stop.wait()
         if peers:
             tasks.append(loop.create_task(peers.end()))
-        async with asyncio.timeout(LAST_S):
-            await server.stop(ACCEPT_S)
-    except TimeoutError:
-        print("server: ended with connections still in use", file=sys.stderr)
+        await server.stop(ACCEPT_S, kill_after_s(settings) - WAY_OUT_S)
     finally:
         for task in tasks:
             task.cancel()
@@ -135,6 +141,20 @@
             await recorder.end()
 
 
+@contextmanager
+def _named_listen() -> Iterator[None]:
+    try:
+        yield
+    except OSError as error:
+        raise ConfigError(f"LB_LISTEN: {error}") from None
+
+
+def kill_after_s(settings: Settings) -> float:
+    """From SIGTERM to the earliest moment at which SIGKILL may come."""
+    longest_s = max(kind.deadline_ns for kind in settings.classes) / 1e9
+    return min(longest_s, KILL_AT_MOST_S) + KILL_S
+
+
 def _recorder(config: Config, file: OperatorFile) -> Recorder:
     from anisespool.config.operator import check_classes
     from anisespool.records.recorder import opener, recorder_of
--- a/anisespool/standins/roster.py
+++ b/anisespool/standins/roster.py
@@ -20,6 +20,7 @@
         super().__init__()
         self.members = {entry["id"]: entry for entry in members}
         self.revision = 1
+        self.asked = 0  # watches asked for, answered or not
         self._how, self._speaks = "", asyncio.Event()
         self._speaks.set()
 
@@ -42,6 +43,7 @@
                 reset(writer)
                 return
             await http1.read_request(reader)
+            self.asked += 1
             await self._speaks.wait()
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             write_line(writer, member_list(self.revision, list(self.members.values())))
