Find an agent that was away while a drain may still be late, and say the same trouble once

Seen in review: the time for a connection was that of an answer, 1 s. A connection begun while the agent takes none never comes up, and news waited for its end: up to 1 s where 0.25 s count. At fault: one time-out over both in membership/watch.py. Now the connection has 0.4 of the settings' drain grace, and so has the wait between tries; a service that is asked keeps 0.5 s and 2 s. Since tries are many now, one trouble is one line in 2 s. Test: five connections that never come up, then one that does; with the mend taken out it waits for an hour (TimeoutError).

--- a/anisespool/instance.py
+++ b/anisespool/instance.py
@@ -15,7 +15,7 @@
 from anisespool.config.platform import Address, Config, ConfigError, discovery_in, load
 from anisespool.core.sidecar import Sidecar
 from anisespool.fronts.http1 import Server
-from anisespool.membership.watch import ASKED, PUSHED, Watch
+from anisespool.membership.watch import Watch, pace_of
 from shuntlead.interface import RosterForm, Settings
 
 if TYPE_CHECKING:
@@ -103,9 +103,7 @@
     recorder = _recorder(config, file) if file and file.records else None
     sidecar = _core(config, endpoints, file, recorder)
     sidecar.listed(config.known, RosterForm.CACHED)
-    pushed = settings.discovery == "push"
-    watch = Watch(config.discovery, config.names, config.known.revision, sidecar.listed,
-                  PUSHED if pushed else ASKED)  # fmt: skip
+    watch = Watch(config.discovery, config.names, config.known.revision, sidecar.listed, pace_of(settings))
     server = Server(sidecar, config.names, settings, most, config.sockets)
     server.on_reject = recorder.rejected if recorder else None
     helm = Helm(config, signals, sidecar, server, watch, recorder)
@@ -119,7 +117,7 @@
         if file:
             peers = _peers(config, file, sidecar) if file.peers else None
             tasks.extend(_operate(config, file, sidecar, helm, peers))
-        if pushed:
+        if settings.discovery == "push":
             # Danger: what the agent has counts as told from the first moment, and the list we were given may
             # be old. As long as a drain may be late we wait; without an agent the old list has to serve.
             with suppress(TimeoutError):
--- a/anisespool/membership/watch.py
+++ b/anisespool/membership/watch.py
@@ -12,6 +12,7 @@
 from anisespool.config.platform import Address, MemberList, Names
 from anisespool.wire import http1
 from anisespool.wire.json_stream import JsonStream, UnreadableError
+from shuntlead import Settings
 
 # News counts as told 6 s after the last sign of life, had or not (the protocol's page). So in less than that
 # the silence is noticed, a new connection that is silent as well is given up, and a third brings the news.
@@ -21,17 +22,30 @@
 MAX_TEXT = 4 * 1024 * 1024
 
 
+LOG_S = 2.0  # between two lines of the same trouble: tries may be many
+
+
 class Pace(NamedTuple):
-    """`answer_s`: for a connection and the head of its answer. `longest_wait_s`: between two tries."""
+    """Seconds: for a connection to come up, for the head of its answer, and between two tries at most."""
 
+    connect_s: float
     answer_s: float
     longest_wait_s: float
 
 
-# An agent on this machine answers at once and at no cost, and what it has counts as told, watch or no watch:
-# nothing is spared by waiting. A service for all works through its calls in turn, and ends them itself after
-# 2 s (the bench's page): given up sooner, a call would have waited for nothing, and come again.
-PUSHED, ASKED = Pace(1.0, 0.1), Pace(2.2, 2.0)
+# A service for all works through its calls in turn, and ends them itself after 2 s (the bench's page): given
+# up sooner, a call would have waited for nothing, and come again.
+ASKED = Pace(0.5, 2.2, 2.0)
+GRACE_PART, LEAST_S = 0.4, 0.05
+
+
+def pace_of(settings: Settings) -> Pace:
+    """An agent on this machine answers at once and at no cost, and what it has counts as told, watch or no
+    watch: nothing is spared by waiting. One that was away is found again while a drain may still be late."""
+    if settings.discovery != "push":
+        return ASKED
+    soon_s = max(LEAST_S, GRACE_PART * settings.drain_grace_ns / 1e9)
+    return Pace(soon_s, 1.0, soon_s)
 
 
 class Watch:
@@ -39,13 +53,14 @@
 
     def __init__(
         self, address: Address, names: Names, revision: int, on_list: Callable[[MemberList], None],
-        pace: Pace = PUSHED,
+        pace: Pace,
     ) -> None:  # fmt: skip
         self._address, self._names, self._on_list, self._pace = address, names, on_list, pace
         self._revision = revision  # up to which all was carried out
         self._lost = self._lost_before = ""  # what could not be, in this turn and in the one before
         self._wait_s = FIRST_WAIT_S
         self._turn: asyncio.Task[None] | None = None
+        self._logged, self._log_at = "", 0.0
         self.first = asyncio.Event()  # a list was carried out, or there is none to be had for now
 
     def move(self, address: Address) -> None:
@@ -74,7 +89,7 @@
         except (OSError, TimeoutError, UnreadableError) as error:
             if isinstance(error, UnreadableError):
                 self._lost = str(error)
-            print(f"discovery: {type(error).__name__}: {error}"[:300], file=sys.stderr)
+            self._log(f"{type(error).__name__}: {error}")
         except Exception:  # Danger: whatever it was, without a watch drains are missed for good
             traceback.print_exc()
         self.first.set()
@@ -84,12 +99,19 @@
         wait_s, self._wait_s = min(self._wait_s, longest_s), min(2 * self._wait_s, longest_s)
         await asyncio.sleep(wait_s * random.uniform(0.5, 1.0))
 
+    def _log(self, text: str) -> None:
+        now = asyncio.get_running_loop().time()
+        if text != self._logged or now >= self._log_at:
+            self._logged, self._log_at = text, now + LOG_S
+            print(f"discovery: {text}"[:300], file=sys.stderr)
+
     async def _watch_once(self) -> None:
         stream, came = JsonStream(MAX_TEXT), bytearray()
         parser = http1.ResponseParser(came.extend)
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout(self._pace.answer_s) as limit:
+        async with asyncio.timeout(self._pace.connect_s) as limit:
             reader, writer = await asyncio.open_connection(*self._address)
+            limit.reschedule(loop.time() + self._pace.answer_s)
             try:
                 target = b"/v1/servers?stream=1&index=%d" % self._revision
                 request = http1.Request(b"GET", target, {}, b"", True)
@@ -132,7 +154,7 @@
             traceback.print_exc()
             faults = f"{type(error).__name__}: {error}"
         if faults:
-            print(f"discovery: not carried out: {faults}"[:300], file=sys.stderr)
+            self._log(f"not carried out: {faults}")
         if faults and faults != self._lost_before:
             self._lost = self._lost or faults
         elif update and not self._lost:
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -88,7 +88,7 @@
 ) -> None:
     """Its failures have set the wait so long that news would come late."""
     monkeypatch.setattr(discovery, "FIRST_WAIT_S", 60.0)
-    monkeypatch.setattr(instance, "PUSHED", discovery.PUSHED._replace(longest_wait_s=60.0))
+    monkeypatch.setattr(instance, "pace_of", lambda settings: discovery.Pace(60.0, 60.0, 60.0))
     new_list = Discovery()
     async with Endpoint().serve() as endpoint, new_list.serve(), sidecar_world(tmp_path, endpoint) as it:
         await until(lambda: bool(it.discovery.connections))
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -19,7 +19,9 @@
 from anisespool.standins.site import member, member_list
 from anisespool.wire.json_stream import JsonStream, UnreadableError
 from tests.net import exchange, limited, raw_call, until, world, write_config
+from tests.support import SECOND, settings
 
+PUSHED = discovery.pace_of(settings())
 ROW = member("s-0", Address("127.0.0.1", 7001))
 LIST = member_list(43, [ROW, member("s-1", Address("127.0.0.1", 7002), locality='}"{\\n\u00e9')])
 LAYOUTS: dict[str, Callable[[Any], str]] = {
@@ -145,7 +147,7 @@
         if seen == [2]:
             raise RuntimeError("once")
 
-    async with Discovery().serve() as it, watching(tmp_path, it.address, on_list, discovery.PUSHED):
+    async with Discovery().serve() as it, watching(tmp_path, it.address, on_list, PUSHED):
         for n in range(2):
             await until(lambda n=n: len(it.connections) == n + 1)  # type: ignore[misc]
             it.say(member_list(2, []))
@@ -156,6 +158,35 @@
     assert capfd.readouterr().err.count("RuntimeError: once") >= 1
 
 
+@pytest.mark.parametrize("grace_s", [0.1, 0.25, 0.5, 1.0])
+def test_an_agent_that_was_away_is_found_while_a_drain_may_be_late(grace_s: float) -> None:
+    pace = discovery.pace_of(settings(guarantees__drain_grace_ns=int(grace_s * SECOND)))
+    assert pace.connect_s + pace.longest_wait_s <= max(grace_s, 2 * discovery.LEAST_S)
+    assert discovery.pace_of(settings(discovery="ask")) is discovery.ASKED
+
+
+@limited
+async def test_a_connection_that_never_comes_up_is_given_up_sooner_than_an_answer(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
+) -> None:
+    """An agent that is back answers whoever comes then, and nobody who came before."""
+    connect, tries = asyncio.open_connection, 0
+
+    async def hangs(*address: Any) -> Any:
+        nonlocal tries
+        tries += 1
+        return await (asyncio.Event().wait() if tries <= 5 else connect(*address))
+
+    seen: list[int] = []
+    monkeypatch.setattr(asyncio, "open_connection", hangs)
+    pace = discovery.Pace(0.01, 3600.0, 0.01)
+    async with Discovery().serve() as it, watching(tmp_path, it.address, lambda u: seen.append(1), pace):
+        await until(lambda: bool(it.connections))
+        it.say(member_list(2, []))
+        await until(lambda: bool(seen))
+    assert tries == 6 and capfd.readouterr().err.count("TimeoutError") == 1  # one line for the same trouble
+
+
 class Falling(Peer):
     """A discovery that falls silent in the way named, to the first new watch too; the third hears news."""
 
@@ -189,14 +220,15 @@
 
 
 @pytest.mark.parametrize("how", ["head", "nothing", "drips"])
-@pytest.mark.parametrize("pace", [discovery.PUSHED, discovery.ASKED])
+@pytest.mark.parametrize("pace", [PUSHED, discovery.ASKED])
 @limited
 async def test_news_is_had_in_time_though_the_first_new_watch_is_silent_too(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, how: str, pace: discovery.Pace
 ) -> None:
     """Counted in the watch's own figures, then played with all of them cut to a twentieth."""
     told_s = 6.0
-    worst = discovery.SILENCE_S + max(discovery.SILENCE_S, pace.answer_s) + 3 * discovery.FIRST_WAIT_S
+    second = max(discovery.SILENCE_S, pace.connect_s + pace.answer_s)  # a head and no more, or nothing
+    worst = discovery.SILENCE_S + second + 3 * discovery.FIRST_WAIT_S
     assert worst <= (1 - SPARE / 2) * told_s and discovery.SILENCE_S > 2.0
     monkeypatch.setattr(discovery, "SILENCE_S", discovery.SILENCE_S / 20)
     seen: list[int] = []
