Count descriptors and open connections too where a client has left

tests/test_ends.py counted exchanges, attempts, opening connections and trace ids; now also connections to endpoints that are neither at work nor at rest, and the process's descriptors before a client came and after it left. All are back where they were. Ruled out: counting them around a whole test, as a world that is cancelled leaves its idle connections to the end of the process.

--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 from collections.abc import Callable
 from itertools import permutations
@@ -75,8 +76,9 @@
 def books(server: front.Server) -> list[Any]:
     """What is still open, in each place that keeps account."""
     sidecar, endpoints = server.sidecar, server.sidecar._endpoints
-    pools = endpoints._pools.values()
-    waiting = [x for pool in pools for x in (*pool.waiting, *pool.working)]
+    pools = list(endpoints._pools.values())
+    waiting: list[Any] = [x for pool in pools for x in (*pool.waiting, *pool.working)]
+    waiting += endpoints.connections.difference(waiting, *(pool.idle for pool in pools))
     return [*sidecar._exchanges, *server.open_ids, *server.unread, *server._working, *waiting,
             *range(endpoints._opening)]  # fmt: skip
 
@@ -236,12 +238,15 @@
     """Behind a request in work wait others, more than are read, and the end of it all behind those."""
     held = Held()
     async with held.serve(), world(tmp_path, held) as it:
+        before = len(os.listdir("/proc/self/fd"))
         _, writer = await asyncio.open_connection(*it.address)
         writer.write(b"".join(raw_call("once", f"t{n}", body=b"x" * 500) for n in range(1 + ahead)))
         await until(lambda: len(held.requests) == 1 and not writer.transport.get_write_buffer_size())
         leave(writer)
         await until(lambda: not books(servers[0]))  # the endpoint still holds: it is the end that was seen
         held.go.set()
+        writer.transport.abort()
+        await until(lambda: len(os.listdir("/proc/self/fd")) == before)  # with the endpoint's own end of it
         assert (await exchange(it.address, raw_call("look"))).status == 200
         assert [r.headers[b"x-trace-id"] for r in held.requests] == [b"t0", b"t1"]
         writer.close()
