Let a log that nobody reads any more cost no answer and no processor

Seen while other tests ran: a sidecar whose parent had died used 85 % of a core for half an hour. strace showed "write(2, ...) = -1 EPIPE" at each try of the watch and no wait between two; with no reader the message itself raised, in the place that would have gone on to wait. At fault: print in _watch_and_wait (membership/watch.py) ahead of its sleep, and run, which began the next turn at once; and the same in the core's _log, where a line raised ahead of the actions behind it.

Mend: the program writes to standard error through one small class that lets a failed write go; and a turn of the watch that fails in its own care waits. Test: the pipe is closed, the endpoint errs, discovery resets; the answer is 502, twenty tries take their time, SIGTERM ends it with 0. Ruled out: SIGPIPE (Python ignores it). Open: a pipe that is full and not read blocks the loop, as any write would.

--- a/anisespool/instance.py
+++ b/anisespool/instance.py
@@ -9,7 +9,7 @@
 import sys
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TextIO, cast
 
 from anisespool.backs.http1 import Endpoints
 from anisespool.config.platform import Address, Config, ConfigError, discovery_in, load
@@ -32,6 +32,23 @@
 CLIENTS_SHARE = 0.6  # of the others: many at rest beside those busy, of which each needs one to an endpoint
 
 
+class Log:
+    """Standard error, as long as somebody reads it. Danger: a pipe that nobody reads any more fails each
+    write; a line of the module's would cost the actions behind it, and the watch's next turn come at once."""
+
+    def __init__(self, stream: TextIO) -> None:
+        self._stream = stream
+
+    def write(self, text: str) -> int:
+        with suppress(OSError):
+            self._stream.write(text)
+        return len(text)
+
+    def flush(self) -> None:
+        with suppress(OSError):
+            self._stream.flush()
+
+
 class Signals:
     """What the platform asks for while the program runs. They exist before anything else does, so that a
     SIGHUP at an awkward moment waits instead of killing the process."""
@@ -245,6 +262,7 @@
 
 def main(file_path: str | None = None) -> int:
     """The program; `file_path`: the operator's file, without which nothing of it is loaded."""
+    sys.stderr = cast(TextIO, Log(sys.stderr))
     try:
         asyncio.run(_until_signalled(file_path))
     except ConfigError as error:
--- a/anisespool/membership/watch.py
+++ b/anisespool/membership/watch.py
@@ -81,6 +81,9 @@
                 await asyncio.wait([self._turn])  # a turn may be cancelled, and that does not end the watch
             finally:
                 self._turn.cancel()
+            # Danger: a turn that fails in its own care would fail again at once.
+            if not self._turn.cancelled() and self._turn.exception():
+                await asyncio.sleep(FAULTS_WAIT_S)
 
     async def _watch_and_wait(self) -> None:
         self._lost = ""
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -9,12 +9,14 @@
 import socket
 import sys
 from pathlib import Path
+from time import monotonic
 
 import pytest
 
 from anisespool.config.platform import Address, ConfigError, load
+from anisespool.membership.watch import FIRST_WAIT_S
 from anisespool.standins.http1 import read_response
-from anisespool.standins.peers import OK, Endpoint
+from anisespool.standins.peers import OK, Endpoint, Peer, reset
 from anisespool.standins.site import free_port, member
 from tests.net import exchange, limited, raw_call, until, write_config
 
@@ -180,3 +182,31 @@
         await process.communicate()
         assert process.returncode == 0
         never.close()
+
+
+class Resetting(Peer):
+    """A discovery that is of no use to anybody."""
+
+    came = 0
+
+    async def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.came += 1
+        reset(writer)
+
+
+@limited
+async def test_a_log_that_nobody_reads_any_more_costs_no_answer_and_no_processor(tmp_path: Path) -> None:
+    """Each answer of the endpoint makes a line of the module's, ahead of what it decides, and each try of the
+    watch one of its own."""
+    listen = f"127.0.0.1:{free_port()}"
+    error = b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n"
+    async with Endpoint(error).serve() as bad, Resetting().serve() as it:
+        process = await start(write_config(tmp_path, it.address, [member("s-0", bad.address)], listen))
+        pipe = process._transport.get_pipe_transport(2)  # type: ignore[attr-defined]
+        pipe.close()
+        before, began = it.came, monotonic()
+        assert (await exchange(Address.parse(listen), raw_call("once"))).status == 502
+        await until(lambda: it.came >= before + 20)
+        assert monotonic() - began > 20 * FIRST_WAIT_S / 4  # a busy machine takes longer, none less
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
