Hold back no small write, take back no drain by a list that is behind, wait for no full log

Seen: TCP_NODELAY was off on every connection to clients and endpoints, though asyncio sets it. At fault: the listener and the endpoints' sockets were made with protocol 0 (bind in fronts/http1.py, _open in backs/http1.py), and asyncio sets the option only where the protocol is named (base_events._set_nodelay). Small writes behind unconfirmed ones were held by the system, and go with a reset. Test on both ends; without the mend "assert 0".

Suspected and forced: after SIGHUP the new discovery is asked for all it has; if that is behind the old one, an endpoint told to drain was sent to again. At fault: _apply in core/sidecar.py took any list's word. With the mend taken out the test's drained endpoint has requests.

Log (instance.py) looks for room first, and counts what found none. Without it: TimeoutError, the program never listens.

--- a/anisespool/backs/http1.py
+++ b/anisespool/backs/http1.py
@@ -266,7 +266,9 @@
         loop = asyncio.get_running_loop()
         sock: socket.socket | None = None
         try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            # Danger: without its protocol named asyncio leaves TCP_NODELAY off: small writes are held.
+            kind = socket.SOCK_STREAM | socket.SOCK_NONBLOCK
+            sock = socket.socket(socket.AF_INET, kind, socket.IPPROTO_TCP)
             # By hand: the loop's own way looks the address up each time, at twice the cost.
             async with asyncio.timeout(self._connect_timeout_s):
                 await loop.sock_connect(sock, pool.address)
--- a/anisespool/core/sidecar.py
+++ b/anisespool/core/sidecar.py
@@ -14,7 +14,7 @@
 from anisespool.backs.http1 import Endpoints
 from anisespool.config.platform import Config, Member, MemberList
 from anisespool.core.call import Answer, Call
-from anisespool.rules.drains import effective
+from anisespool.rules.drains import CATCH_UP_NS, Told, effective
 from shuntlead import Balancer
 from shuntlead import interface as api
 from shuntlead.interface import Effect, EndpointState, RosterForm, Status
@@ -51,6 +51,7 @@
         self._numbers: dict[str, int] = {}  # endpoint id -> its number; one that is gone never returns
         self._listed: dict[str, Member] = {}  # as discovery last said, whatever the operator drains
         self.drained: frozenset[str] = frozenset()  # by the operator, listed or not
+        self._told = Told()
         self._ready: set[int] = set()
         self._next_request = self._next_number = self._revision = 0
         self._events: deque[api.Event] = deque()
@@ -127,18 +128,28 @@
         self._drain()
 
     def _apply(self, update: MemberList, form: RosterForm) -> list[api.Listed]:
+        now = time.monotonic_ns()
+        rows: list[api.Listed] = []
+        behind: list[str] = []
         if form is not RosterForm.DELTA:
             for absent in self._numbers.keys() - {member.id for member in update.members}:
+                started_ns = self._listed[absent].row.started_ns
+                self._told.state(now, absent, started_ns, EndpointState.GONE, update.revision)
                 self._drop(absent)
-        rows = []
         for member in update.members:
             if member.id not in self._numbers:
                 self._next_number += 1
                 self._numbers[member.id] = self._next_number
                 place = "{}:{}".format(*member.address)  # the module's lines name it by its number
                 print(f"driver: endpoint {self._next_number} is {member.id} at {place}", file=sys.stderr)
-            number, self._listed[member.id] = self._numbers[member.id], member
-            state = effective(member.row.state, member.id in self.drained)
+            before, self._listed[member.id] = self._listed.get(member.id, member), member
+            number, row = self._numbers[member.id], member.row
+            gone = row.state == EndpointState.GONE  # then it may be listed by its id alone
+            started_ns = (before if gone else member).row.started_ns
+            told = self._told.state(now, member.id, started_ns, row.state, update.revision)
+            if told != row.state:
+                behind.append(member.id)
+            state = effective(told, member.id in self.drained)
             rows.append(member.row._replace(endpoint=number, state=state))
             if state == EndpointState.GONE:
                 self._drop(member.id)
@@ -146,8 +157,18 @@
             up = state == EndpointState.READY
             self._endpoints.update(number, member.address, member.row.started_ns, up)
             (self._ready.add if up else self._ready.discard)(number)
+        if behind:
+            text = f"revision {update.revision} is behind, what drained stays so: {', '.join(behind)}"
+            print(f"discovery: {text}"[:300], file=sys.stderr)
+            asyncio.get_running_loop().call_later(CATCH_UP_NS / 1e9, self._look_again, behind)
         return rows
 
+    def _look_again(self, names: list[str]) -> None:
+        """What the latest lists say of these holds now, however they are numbered."""
+        members = tuple(self._listed[name] for name in names if name in self._listed)
+        if members:
+            self.listed(MemberList(self._revision, False, members))
+
     def _drop(self, member_id: str) -> None:
         number = self._numbers.pop(member_id)
         self._listed.pop(member_id, None)
--- a/anisespool/fronts/http1.py
+++ b/anisespool/fronts/http1.py
@@ -427,7 +427,9 @@
 
     def bind(self, address: Address) -> None:
         """The address is ours; whoever connects is still refused."""
-        self._listener = listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        # Danger: without its protocol named asyncio leaves TCP_NODELAY off what is accepted: an answer behind
+        # another would be held back, and go with a reset.
+        self._listener = listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.setblocking(False)
         listener.bind(address)
--- a/anisespool/instance.py
+++ b/anisespool/instance.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import os
+import select
 import signal
 import sys
 from collections.abc import Callable, Iterator
@@ -29,24 +30,51 @@
 WAY_OUT_S = 0.1  # before that all is over
 COLLECT = (10_000, 20, 20)  # cycles are rare here: parsers let go of themselves
 SPARE_SOCKETS = 32  # descriptors for all but clients and endpoints, and for those on their way out
+LINE = select.PIPE_BUF // 4  # characters of a line in the log, four bytes each: what a pipe with room takes
 CLIENTS_SHARE = 0.6  # of the others: many at rest beside those busy, of which each needs one to an endpoint
 
 
 class Log:
     """Standard error, as long as somebody reads it. Danger: a pipe that nobody reads any more fails each
-    write; a line of the module's would cost the actions behind it, and the watch's next turn come at once."""
+    write, and one that is full and not read holds the whole loop up. So a line that finds no room is let go,
+    and the next that does says how many were."""
 
-    def __init__(self, stream: TextIO) -> None:
-        self._stream = stream
+    def __init__(self, stream: TextIO | None) -> None:
+        self._stream, self._line, self._lost = stream, "", 0  # None: the program was started with none
+        self._poll: select.poll | None = None
+        if stream:
+            self._poll = select.poll()
+            self._poll.register(stream.fileno(), select.POLLOUT)
 
     def write(self, text: str) -> int:
-        with suppress(OSError):
-            self._stream.write(text)
+        *lines, self._line = (self._line + text).split("\n")
+        for line in lines:
+            self._write_line(line)
+        self._line = self._line[:LINE]
         return len(text)
 
+    def _write_line(self, line: str) -> None:
+        if self._lost and self._has_room():
+            self._put(f"log: {self._lost} lines found no room")
+            self._lost = 0
+        if self._lost or not self._has_room():
+            self._lost += 1
+        else:
+            self._put(line)
+
+    def _has_room(self) -> bool:
+        """For a line; whoever has gone has room enough, as the write fails at once."""
+        return not self._poll or bool(self._poll.poll(0))
+
+    def _put(self, line: str) -> None:
+        if self._stream:
+            with suppress(OSError):
+                self._stream.write(line[:LINE] + "\n")
+
     def flush(self) -> None:
-        with suppress(OSError):
-            self._stream.flush()
+        if self._stream:
+            with suppress(OSError):
+                self._stream.flush()
 
 
 class Signals:
--- a/anisespool/rules/drains.py
+++ b/anisespool/rules/drains.py
@@ -1,5 +1,7 @@
-"""Endpoints that an operator drains: what he says holds beside what discovery says, and neither undoes the
-other."""
+"""Endpoints that want nothing new. What an operator drains holds beside what discovery says, and neither
+undoes the other; and a list that is behind takes back nothing that a later one has told.
+
+Pure: no I/O and no clock."""
 
 from __future__ import annotations
 
@@ -16,3 +18,32 @@
 def leaves_none(ready: Collection[str], drained: Iterable[str]) -> bool:
     """Whether a drain takes the last endpoint that may be sent to."""
     return bool(ready) and not set(ready) - set(drained)
+
+
+# What discovery has to tell counts as told 6 s later at the latest (the protocol's page): what is behind has
+# caught up by then. What goes on to say otherwise numbers its lists in another way, or has changed its mind.
+CATCH_UP_NS = 6_000_000_000
+MOST = 4096  # ids remembered; the oldest go first
+
+
+class Told:
+    """What discovery has told to drain or to be gone. Danger: the service that a new configuration names
+    may be behind the old one, and what was told stays told."""
+
+    def __init__(self, most: int = MOST) -> None:
+        self._most = most
+        # By id: its start, the revision that told, and when a list first said otherwise (ns; 0: none has).
+        self._ends: dict[str, tuple[int, int, int]] = {}
+
+    def state(self, now: int, member_id: str, started_ns: int, listed: int, revision: int) -> int:
+        """The state that holds, of the one in a list with that revision."""
+        start, told, contradicted = self._ends.pop(member_id, (started_ns, -1, 0))
+        if listed != EndpointState.READY:
+            self._ends[member_id] = started_ns, max(told, revision) if start == started_ns else revision, 0
+            if len(self._ends) > self._most:
+                del self._ends[next(iter(self._ends))]
+            return listed
+        if start != started_ns or revision >= told or contradicted and now >= contradicted + CATCH_UP_NS:
+            return listed
+        self._ends[member_id] = start, told, contradicted or now
+        return EndpointState.DRAINING
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -106,6 +106,21 @@
     connection._transport.resume_reading()
 
 
+@limited
+async def test_nothing_that_was_written_is_held_back(tmp_path: Path, servers: list[front.Server]) -> None:
+    """The system keeps small writes until earlier ones are confirmed, and drops them with a reset."""
+    async with Endpoint().serve() as endpoint, world(tmp_path, endpoint) as it:
+        reader, writer = await asyncio.open_connection(*it.address)
+        writer.write(raw_call("once", "t1"))
+        assert await responses(reader, 1) == [(200, True)]
+        (client,) = servers[0].connections
+        (back,) = servers[0].sidecar._endpoints.connections
+        for transport in (client._transport, back._transport):
+            assert transport
+            assert transport.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        writer.close()
+
+
 # SIGTERM ------------------------------------------------------------------------------------------
 
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -5,9 +5,11 @@
 import asyncio
 import json
 import os
+import re
 import signal
 import socket
 import sys
+from contextlib import suppress
 from pathlib import Path
 from time import monotonic
 
@@ -77,9 +79,9 @@
     assert starts[0] == starts[1] > 0 and starts[2] == 0
 
 
-async def start(env: dict[str, str]) -> asyncio.subprocess.Process:
+async def start(env: dict[str, str], log: int = asyncio.subprocess.PIPE) -> asyncio.subprocess.Process:
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "anisespool", env=os.environ | env, stderr=asyncio.subprocess.PIPE
+        sys.executable, "-m", "anisespool", env=os.environ | env, stderr=log
     )
     address = Address.parse(env["LB_LISTEN"])
     while True:
@@ -210,3 +212,33 @@
         assert monotonic() - began > 20 * FIRST_WAIT_S / 4  # a busy machine takes longer, none less
         process.send_signal(signal.SIGTERM)
         assert await process.wait() == 0
+
+
+@limited
+async def test_a_log_that_is_full_and_not_read_holds_nothing_up(tmp_path: Path) -> None:
+    """Full from the first line on; what found no room is counted in the next that does."""
+    read_end, write_end = os.pipe()
+    os.set_blocking(write_end, False)
+    filled = 0
+    with suppress(BlockingIOError):
+        while True:
+            filled += os.write(write_end, b"x" * 4096)
+    os.set_blocking(write_end, True)  # as the program has it: a write would wait for ever
+    listen = f"127.0.0.1:{free_port()}"
+    error = b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n"
+    async with Endpoint(error).serve() as bad:
+        env = write_config(tmp_path, NOWHERE, [member("s-0", bad.address)], listen)
+        process = await start(env, write_end)
+        assert (await exchange(Address.parse(listen), raw_call("once"))).status == 502
+        assert len(os.read(read_end, 2 * filled)) == filled
+        process.send_signal(signal.SIGHUP)  # each moment of which some line tells
+        Path(env["LB_CONFIG"]).write_text("{")
+        log = b""
+        while b"not reloaded" not in log:
+            process.send_signal(signal.SIGHUP)
+            log += await asyncio.to_thread(os.read, read_end, 65536)
+        assert re.match(rb"log: [1-9]\d* lines found no room\n", log)
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
+    os.close(read_end)
+    os.close(write_end)
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -13,7 +13,9 @@
 
 from anisespool import instance
 from anisespool.config.platform import Address
+from anisespool.core import sidecar as core
 from anisespool.membership import watch as discovery
+from anisespool.rules import drains
 from anisespool.standins.peers import Discovery, Endpoint
 from anisespool.standins.site import free_port, member, member_list
 from tests.net import exchange, limited, raw_call, until, write_config
@@ -96,3 +98,40 @@
         name_discovery(tmp_path / "config.json", new_list.address)
         it.signals.reload.set()
         await until(lambda: bool(new_list.connections))
+
+
+@limited
+async def test_a_new_discovery_that_is_behind_takes_back_no_drain(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Told by the old one, contradicted by the new one until that has caught up; what numbers its lists in
+    another way is believed after a while."""
+    monkeypatch.setattr(core, "CATCH_UP_NS", 10**9 // 2)  # until it is looked at again
+    monkeypatch.setattr(drains, "CATCH_UP_NS", 10**9 // 2)
+    new_list, drained, gone, stays = Discovery(), Endpoint(), Endpoint(), Endpoint()
+    async with drained.serve(), gone.serve(), stays.serve(), new_list.serve():
+        rows = [member(f"s-{n}", e.address, up_since_ms=0) for n, e in enumerate((drained, gone, stays))]
+        async with sidecar_world(tmp_path, drained, gone, stays) as it:
+            await until(lambda: bool(it.discovery.connections))
+            it.discovery.say(member_list(50, [rows[0] | {"phase": "draining"}, rows[2]]))
+            await served(it.address, stays)
+            name_discovery(tmp_path / "config.json", new_list.address)
+            it.signals.reload.set()
+            await until(lambda: bool(new_list.connections))
+            new_list.say(member_list(48, [*rows, member("s-3", stays.address)]))
+            await served(it.address, stays)
+            assert not drained.requests and not gone.requests
+            new_list.say(member_list(50, [rows[1]], complete=False))  # it has caught up, and says so
+            await served(it.address, gone)
+            assert not drained.requests
+            await served(it.address, drained)  # of this one it never says anything else
+
+
+async def served(address: Address, endpoint: Endpoint) -> None:
+    """Until one that came after this moment was served there, and some more; none of them fails."""
+    count = len(endpoint.requests)
+    for n in range(10_000):
+        assert (await exchange(address, raw_call("once", f"t{n}"))).status == 200
+        if len(endpoint.requests) > count and n >= 30:
+            return
+    raise AssertionError("it served nothing")
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -7,7 +7,7 @@
 import pytest
 from hypothesis import given, strategies
 
-from anisespool.rules.drains import effective, leaves_none
+from anisespool.rules.drains import CATCH_UP_NS, Told, effective, leaves_none
 from anisespool.rules.generations import Held, Judgement, Offer, judge
 from anisespool.rules.waves import Plan, Policy, Standing, State, Verdict, plan, steered, wanted
 from shuntlead.interface import EndpointState
@@ -112,3 +112,30 @@
     assert [effective(state, False) for state in (ready, draining, gone)] == [ready, draining, gone]
     assert leaves_none({"a"}, {"a", "b"}) and not leaves_none({"a", "c"}, {"a"})
     assert not leaves_none(set(), {"a"})
+
+
+@pytest.mark.parametrize("told", [EndpointState.DRAINING, EndpointState.GONE])
+@pytest.mark.parametrize(
+    ("started_ns", "revision", "after_ns", "holds"),
+    [(5, 50, 0, False), (5, 51, 0, False), (5, 49, 0, True), (5, 1, CATCH_UP_NS - 1, True),
+     (5, 49, CATCH_UP_NS, False), (6, 49, 0, False)],
+)  # fmt: skip
+def test_a_list_that_is_behind_takes_back_nothing(
+    told: int, started_ns: int, revision: int, after_ns: int, holds: bool
+) -> None:
+    """Told at revision 50 of the start at 5, and since then of nothing; contradicted twice, so long apart."""
+    ready, held = EndpointState.READY, EndpointState.DRAINING
+    ends = Told()
+    assert ends.state(1, "s-0", 5, told, 50) == told
+    assert ends.state(2, "s-0", 5, EndpointState.GONE, 30) == EndpointState.GONE  # behind, and no matter
+    assert ends.state(1000, "s-0", 5, ready, 49) == held
+    assert ends.state(1000 + after_ns, "s-0", started_ns, ready, revision) == (held if holds else ready)
+    assert ends.state(1, "s-1", 5, ready, 1) == ready
+
+
+def test_what_was_told_is_remembered_of_so_many_and_the_oldest_goes_first() -> None:
+    ends = Told(most=2)
+    for name in ("a", "b", "a", "c"):
+        ends.state(0, name, 5, EndpointState.GONE, 50)
+    assert [ends.state(1, name, 5, EndpointState.READY, 1) for name in ("a", "b", "c")] == [
+        EndpointState.DRAINING, EndpointState.READY, EndpointState.DRAINING]  # fmt: skip
