Serve answers without a length whose connection ends in order

At fault: `unframed` in on_headers_complete and `> OK` in end, both in wire/http1.py: no 200 could end with its connection.

Tests: eight endings on sockets, the end held back until all was read; without the mend "RESET is OK".

--- a/anisespool/wire/http1.py
+++ b/anisespool/wire/http1.py
@@ -64,6 +64,13 @@
     def framed(self) -> bool:
         return b"content-length" in self.headers or b"transfer-encoding" in self.headers
 
+    @property
+    def ends_connection(self) -> bool:
+        """As its sender has said."""
+        return b"close" in (
+            option.strip() for option in self.headers.get(b"connection", b"").lower().split(b",")
+        )
+
     def add_header(self, name: bytes, value: bytes) -> None:
         name, value = name.lower(), value or b""
         self.head_size += len(name) + len(value)
@@ -187,10 +194,10 @@
         return None if self.broken else self.response
 
     def end(self) -> Response | None:
-        """The connection has ended in order: with no framing, that is what ends the body. Danger: so does
-        being cut short, and the two look alike. Only what serves nobody may end like this."""
+        """The connection has ended in order: with no framing, that is what ends the body, and it is whole
+        (RFC 9112, 8). Danger: a reset is no end, and must not come here."""
         message = self._message
-        if self.response is None and self.status > HTTPStatus.OK and not message.framed and not self.broken:
+        if self.response is None and self.status >= HTTPStatus.OK and not message.framed and not self.broken:
             self.response = Response(self.status, message.headers, b"".join(message.body), False)
         return self.response
 
@@ -215,8 +222,9 @@
         self.status = self._parser.get_status_code()
         message.end_head()
         if self._sink is None and self.status >= HTTPStatus.OK:
-            unframed = self.status == HTTPStatus.OK and not message.framed
-            self.broken = self.broken or message.ambiguous or unframed or message.length > message.most
+            # Danger: with no length and no word that its connection ends with it, the end may never come.
+            endless = self.status == HTTPStatus.OK and not message.framed and not message.ends_connection
+            self.broken = self.broken or message.ambiguous or endless or message.length > message.most
 
     def on_body(self, data: bytes) -> None:
         if self._sink:
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -155,6 +155,54 @@
     writer.close()
 
 
+UNTIL_CLOSED = b"HTTP/1.1 200 OK\r\nConnection: x, Close\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("head", "more", "end", "status"),
+    [
+        (UNTIL_CLOSED, b"ok", "close", Status.OK),
+        (UNTIL_CLOSED, b"", "close", Status.OK),
+        (UNTIL_CLOSED, b"ok", "reset", Status.RESET),
+        (UNTIL_CLOSED, b"ok", "never", Status.TIMEOUT),
+        (UNTIL_CLOSED, b"x" * 2_000_000, "never", Status.RESET),
+        (UNTIL_CLOSED[:-2], b"", "close", Status.RESET),
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"ok", "never", Status.RESET),  # whether it ends is not said
+        (UNTIL_CLOSED.replace(b"200 OK", b"500 Oops"), b"", "close", Status.ERROR),
+    ],
+)
+@limited
+async def test_an_answer_with_no_length_is_whole_if_its_connection_ends_in_order(
+    head: bytes, more: bytes, end: str, status: Status
+) -> None:
+    """The end comes only after all of it was read."""
+    told = asyncio.Event()
+
+    async def play(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(head + more)
+        await writer.drain()
+        await told.wait()
+        reset(writer) if end == "reset" else writer.close()
+
+    async with Endpoint(play).serve() as endpoint:
+        driver = Driver(endpoint.address)
+        attempt = driver.send(timeout_ns=500 * MS if status is Status.TIMEOUT else 2 * SECOND)
+        connections = driver.endpoints.connections
+        await until(lambda: attempt.status is not None or any(
+            c._parser and c._parser._message.body_size + len(c._parser._message.headers) >= len(more)
+            and c._pool.heard_ns for c in connections))  # fmt: skip
+        assert attempt.status in (None, Status.RESET)  # nothing is taken for good before the end
+        if end != "never":
+            told.set()
+        await until(lambda: attempt.status is not None)
+        assert attempt.status is status and driver.ends == [attempt]
+        if status is Status.OK:
+            assert attempt.response and attempt.response.body == more
+        told.set()
+        driver.send()  # the next gets a connection of its own
+        await until(lambda: len(endpoint.connections) == 2)
+
+
 async def say_nothing(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     await reader.read()
 
