Find the state that holds in one function, and keep a constant's comment beside its constant

Seen in a last reading: _apply had grown by the start of what is gone, looked up in two ways; LINE stood between two constants of which the second's comment speaks of the first. Behaviour is as it was.

--- a/anisespool/core/sidecar.py
+++ b/anisespool/core/sidecar.py
@@ -128,13 +128,11 @@
         self._drain()
 
     def _apply(self, update: MemberList, form: RosterForm) -> list[api.Listed]:
-        now = time.monotonic_ns()
         rows: list[api.Listed] = []
         behind: list[str] = []
         if form is not RosterForm.DELTA:
             for absent in self._numbers.keys() - {member.id for member in update.members}:
-                started_ns = self._listed[absent].row.started_ns
-                self._told.state(now, absent, started_ns, EndpointState.GONE, update.revision)
+                self._told_state(absent, self._listed[absent].row, EndpointState.GONE, update.revision)
                 self._drop(absent)
         for member in update.members:
             if member.id not in self._numbers:
@@ -142,13 +140,10 @@
                 self._numbers[member.id] = self._next_number
                 place = "{}:{}".format(*member.address)  # the module's lines name it by its number
                 print(f"driver: endpoint {self._next_number} is {member.id} at {place}", file=sys.stderr)
-            before, self._listed[member.id] = self._listed.get(member.id, member), member
-            number, row = self._numbers[member.id], member.row
-            gone = row.state == EndpointState.GONE  # then it may be listed by its id alone
-            started_ns = (before if gone else member).row.started_ns
-            told = self._told.state(now, member.id, started_ns, row.state, update.revision)
-            if told != row.state:
+            told = self._told_state(member.id, member.row, member.row.state, update.revision)
+            if told != member.row.state:
                 behind.append(member.id)
+            number, self._listed[member.id] = self._numbers[member.id], member
             state = effective(told, member.id in self.drained)
             rows.append(member.row._replace(endpoint=number, state=state))
             if state == EndpointState.GONE:
@@ -163,6 +158,12 @@
             asyncio.get_running_loop().call_later(CATCH_UP_NS / 1e9, self._look_again, behind)
         return rows
 
+    def _told_state(self, member_id: str, row: api.Listed, state: int, revision: int) -> int:
+        """The state that holds. What is gone may be listed by its id alone: its start is the one known."""
+        if state == EndpointState.GONE and member_id in self._listed:
+            row = self._listed[member_id].row
+        return self._told.state(time.monotonic_ns(), member_id, row.started_ns, state, revision)
+
     def _look_again(self, names: list[str]) -> None:
         """What the latest lists say of these holds now, however they are numbered."""
         members = tuple(self._listed[name] for name in names if name in self._listed)
--- a/anisespool/instance.py
+++ b/anisespool/instance.py
@@ -29,8 +29,8 @@
 KILL_S, KILL_AT_MOST_S = 0.7, 3.0
 WAY_OUT_S = 0.1  # before that all is over
 COLLECT = (10_000, 20, 20)  # cycles are rare here: parsers let go of themselves
-SPARE_SOCKETS = 32  # descriptors for all but clients and endpoints, and for those on their way out
 LINE = select.PIPE_BUF // 4  # characters of a line in the log, four bytes each: what a pipe with room takes
+SPARE_SOCKETS = 32  # descriptors for all but clients and endpoints, and for those on their way out
 CLIENTS_SHARE = 0.6  # of the others: many at rest beside those busy, of which each needs one to an endpoint
 
 
