--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Prepares what the cases start, after the build of deploy/balancer.toml: the stand-ins are Python files of this
-# folder, and case 1 starts a sidecar with an operator's file, which needs the project's own extra `operator`.
+# folder, and case 2 starts a sidecar with an operator's file, which needs the project's own extra `operator`.
 set -e
 cd "$(dirname "$0")/.."
 operator=$(.venv/bin/python -c '
