Discard what an endpoint has not received when its attempt or the process ends

Cause: Connection.abort closed the socket without SO_LINGER. transport.abort() drops what asyncio buffers, but the kernel had taken the whole request, and delivers what it has taken after close and after the process has ended.

Evidence, by a trace of system calls and sockets during the case: close comes 2.7 ms after the 503 (no connection stays open); one sendto took all 60,149 bytes (asyncio holds nothing back); the trace id is written once (nothing is sent again); the endpoint had 11,264 bytes; the closed socket stands in FIN-WAIT-1 with 47,862 bytes to send until the endpoint goes on. The 503 was also written before close, as asyncio closes in the event loop's next turn.

Change: sockets to endpoints have SO_LINGER 0 from their creation, so that it holds for SIGKILL too; abort closes the socket at once, before any response is written. Where all was delivered the connection closes in order, as before, because the kernel repeats an orderly close and sends a reset only once.

--- a/anisespool/records/transports.py
+++ b/anisespool/records/transports.py
@@ -8,14 +8,12 @@
 
 import asyncio
 import errno
-import fcntl
 import socket
-import termios
-from array import array
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Protocol
 
+from anisespool import tcp
 from anisespool.config.platform import Address
 
 MAX_WRITE_BYTES = 16_384
@@ -224,9 +222,7 @@
     @property
     def unacknowledged_bytes(self) -> int:
         """See `Channel.unacknowledged_bytes`."""
-        result = array("i", [0])
-        fcntl.ioctl(self._sock, termios.TIOCOUTQ, result)  # On a socket, TIOCOUTQ is SIOCOUTQ (tcp(7)).
-        return result[0]
+        return tcp.unacknowledged_bytes(self._sock)
 
     def close(self) -> None:
         """See `Channel.close`."""
--- a/anisespool/upstream/attempt.py
+++ b/anisespool/upstream/attempt.py
@@ -32,7 +32,7 @@
         """
 
     def abort(self) -> None:
-        """Close immediately, without flushing the write buffer."""
+        """Close now. The part of a request that the endpoint has not received is never sent."""
 
 
 @dataclass(slots=True, eq=False)
--- a/anisespool/upstream/connection.py
+++ b/anisespool/upstream/connection.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import select
+import socket
 import time
 
+from anisespool import tcp
 from anisespool.balancer.interface import AttemptStatus
 from anisespool.codec import http1
 from anisespool.codec.load_report import parse_load_report
@@ -27,13 +29,19 @@
     show exactly whether part of a request is still in the buffer.
     """
 
-    def __init__(self, pool: ConnectionPool) -> None:
-        """Create the protocol object; `connection_made` is called once the connection is established."""
+    def __init__(self, pool: ConnectionPool, sock: socket.socket) -> None:
+        """Create the protocol object; `connection_made` is called once the connection is established.
+
+        Args:
+            pool: The endpoint's pool.
+            sock: The transport's socket, with `tcp.discard_undelivered_on_close`.
+        """
         self.has_unsent_bytes = False
         """Whether the kernel lacks part of the request. If so, the endpoint can't have executed it."""
         self.idle_since_s = 0.0
         """Time of the last return to the pool (monotonic)."""
         self._pool = pool
+        self._socket = sock
         self._attempt: Attempt | None = None
         self._parser: http1.ResponseParser | None = None
         self._transport: asyncio.Transport | None = None
@@ -45,7 +53,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._poll = select.poll()
-        self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+        self._poll.register(self._socket.fileno(), select.POLLIN)
         transport.set_write_buffer_limits(high=0)
         self._pool.open_connections.add(self)
 
@@ -126,13 +134,18 @@
             self._finish_attempt(status_of_loss(self.has_unsent_bytes))
 
     def abort(self) -> None:
-        """Close without flushing, so that the rest of an abandoned request is not sent."""
+        """Close now. The part of a request that the endpoint has not received is never sent.
+
+        The transport would close the socket only in the event loop's next turn, after the response to the
+        client is written, and the kernel would go on sending until then.
+        """
         self._attempt = None
         self._pool.active.discard(self)
         self._close_parser()
         self._pool.open_connections.discard(self)
         if self._transport:
             self._transport.abort()
+            tcp.close_without_delivering(self._socket)
 
     def _on_response(self, response: http1.Response) -> None:
         reusable = response.keep_alive and not self.has_unsent_bytes
--- a/anisespool/upstream/pooled_connection.py
+++ b/anisespool/upstream/pooled_connection.py
@@ -37,4 +37,4 @@
         """End the attempt as not executed. Requires `nothing_sent`."""
 
     def abort(self) -> None:
-        """Close immediately, without flushing the write buffer."""
+        """Close now. The part of a request that the endpoint has not received is never sent."""
