Drop requests of the control socket whose client has closed it before they are read

An instance that is stopped for longer than the agent's time limit makes the change that the agent has given up when it goes on: a shutdown, a drain.

Cause: what is written to a Unix socket stays in the receiver's queue when the sender closes, and the connection handled what it read without looking whether its client was there. SO_LINGER does nothing on Unix sockets.

Evidence: a client that writes one request and closes before the event loop runs. With shutdown, a drain by hand and the agent's set of drains the state showed the change (3 of 3 cases of the test failed before).

Change: before a request is handled the socket is polled for POLLHUP, which tells of a closed peer even with input unread. A client that has only ended its output still gets its response; a test holds that, before and after.

--- a/anisespool/control/connection.py
+++ b/anisespool/control/connection.py
@@ -2,13 +2,14 @@
 
 The connection is driven by readiness callbacks: no task waits for a client, and a handler runs between two
 events of the loop. A client that stays idle, stalls within a request or does not read its responses is
-disconnected.
+disconnected. Requests of a client that has closed its socket before they are read are dropped.
 """
 
 from __future__ import annotations
 
 import asyncio
 import json
+import select
 import socket
 from collections.abc import Callable
 
@@ -47,6 +48,8 @@
         self._parser = http1.RequestParser()
         self._unsent = b""
         self._loop = asyncio.get_running_loop()
+        self._poll = select.poll()
+        self._poll.register(sock, select.POLLHUP)
         self._loop.add_reader(sock, self._read)
         self._idle_timer = self._loop.call_later(idle_timeout_s, self.abort)
 
@@ -54,6 +57,11 @@
     def _closed(self) -> bool:
         return self._sock.fileno() < 0
 
+    @property
+    def _client_has_closed(self) -> bool:
+        """Whether the client has closed its socket and so reads no response; its requests may be unread."""
+        return bool(self._poll.poll(0))
+
     def _read(self) -> None:
         try:
             data = self._sock.recv(MAX_READ_BYTES)
@@ -67,6 +75,10 @@
         for request in self._parser.feed(data):
             if self._closed:
                 return  # The client did not read an earlier response of this batch and was disconnected.
+            if self._client_has_closed:
+                # Whoever has given up a change may have made another one meanwhile.
+                self.abort()
+                return
             self._send(self._respond(request), close=not request.keep_alive)
         if self._parser.error_status:
             error = RequestFramingError(self._parser.error_status, http1.MAX_BODY_BYTES)
--- a/tests/control/test_server.py
+++ b/tests/control/test_server.py
@@ -17,6 +17,7 @@
 from tests.harness.client import request_bytes
 from tests.harness.waiting import wait_until
 
+DRAINED = b'{"revision": 1, "ids": ["s-0"]}'
 APPLY = b"POST /v1/apply HTTP/1.1\r\nHost: i\r\n"
 
 
@@ -62,6 +63,35 @@
     assert "Traceback" not in capfd.readouterr().err
 
 
+@pytest.mark.parametrize(
+    ("path", "body"),
+    [("drain", b""), ("endpoints/drain", b'{"id": "s-0"}'), ("endpoints/drained", DRAINED)],
+)
+async def test_a_change_whose_client_has_given_up_is_not_made(
+    start_sidecar: StartSidecar, path: str, body: bytes
+) -> None:
+    """A stopped instance made the changes that its agent had given up as soon as it went on."""
+    request = b"POST /v1/%s HTTP/1.1\r\nHost: i\r\nContent-Length: %d\r\n\r\n" % (path.encode(), len(body))
+    async with start_sidecar(endpoint_count=2) as instance:
+        before = await instance.get("state")
+        with socket.socket(socket.AF_UNIX) as client:  # is closed before the instance reads its request
+            client.connect(str(instance.socket))
+            client.send(request + body)
+        after = await instance.get("state")
+        assert (after["phase"], after["drained"]) == (before["phase"], before["drained"])
+        assert not instance.sidecar.signals.stop.is_set()
+
+
+async def test_a_client_that_has_ended_only_its_output_gets_its_response(start_sidecar: StartSidecar) -> None:
+    """Command-line clients end their output after the request, and wait for the response."""
+    async with start_sidecar() as instance:
+        reader, writer = await asyncio.open_unix_connection(str(instance.socket))
+        writer.write(b"GET /v1/state HTTP/1.1\r\nHost: i\r\n\r\n")
+        writer.write_eof()
+        assert (await reader.read()).startswith(b"HTTP/1.1 200 ")
+        writer.close()
+
+
 async def test_clients_over_the_limit_and_clients_of_other_users_are_disconnected(
     start_sidecar: StartSidecar, monkeypatch: pytest.MonkeyPatch
 ) -> None:
