Send a paused or aborted change to no instance whose request was still waiting

Cause: the requests of a wave wait for one of at_once slots and then for an open request to their instance. _apply looked once, at the slot, and only for a newer change, not for the state of the newest one.

A poll of the instance delays a request in the same way.

Change: one predicate, asked at the slot and again under the instance's lock. What was not sent shows as `lacks`, and resume sends it.

--- a/anisespool/agent/change_sender.py
+++ b/anisespool/agent/change_sender.py
@@ -7,13 +7,14 @@
 import sqlite3
 import time
 
-from anisespool.agent.control_client import ControlClient, UnreachableError
+from anisespool.agent.control_client import ControlClient, RequestWithdrawnError, UnreachableError
 from anisespool.agent.control_protocol import ApplyBody, RequestRejectedError
 from anisespool.agent.crash_points import CrashPoint
 from anisespool.agent.delivery_hooks import DeliveryHooks
 from anisespool.agent.desired_state import Change, Delivery, DeliveryState
 from anisespool.agent.desired_state_repository import DesiredStateRepository
 from anisespool.agent.events import EventKind
+from anisespool.agent.rollout.state import PROPAGATING_STATES
 from anisespool.agent.task_scope import TaskScope
 from anisespool.agent.wall_clock import MS_PER_S
 from anisespool.control import routes
@@ -86,15 +87,16 @@
 
     async def _apply(self, change: Change, client: ControlClient) -> None:
         """Send the change to one instance, and record the outcome."""
-        desired = self._desired
-        if desired.newest and not desired.is_newest(change) and change is not desired.last_settled:
-            return  # superseded while this delivery waited for a request slot
+        if not self._is_desired(change):
+            return
         assert client.state
         boot = client.state.boot
         body = _apply_body(change, client.state.digest)
         self._hooks.at_crash_point(CrashPoint.SENDING)
         try:
-            await client.request_change(routes.APPLY_CONFIG, body)
+            await client.request_change(routes.APPLY_CONFIG, body, lambda: self._is_desired(change))
+        except RequestWithdrawnError:
+            return
         except UnreachableError as error:
             client.record_unreachable(error)
             self._hooks.poll_now(client.name)
@@ -108,6 +110,16 @@
         )
         self._hooks.at_crash_point(CrashPoint.CONFIRMED)
 
+    def _is_desired(self, change: Change) -> bool:
+        """Whether a delivery that has waited is still sent.
+
+        Its change may have been superseded, paused or aborted meanwhile.
+        """
+        newest = self._desired.newest
+        if newest and self._desired.is_newest(change):
+            return newest.state in PROPAGATING_STATES
+        return newest is None or change is self._desired.last_settled
+
     async def _handle_rejection(
         self, change: Change, client: ControlClient, boot: str, error: RequestRejectedError
     ) -> None:
--- a/anisespool/agent/control_client.py
+++ b/anisespool/agent/control_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from http import HTTPStatus
@@ -50,6 +51,15 @@
         return self.text
 
 
+class RequestWithdrawnError(ControlClientError):
+    """The request was no longer desired when its turn came, and was not sent."""
+
+
+def always_desired() -> bool:
+    """Return True: the request is sent however long it has waited for its turn."""
+    return True
+
+
 class ControlClient:
     """Client of one instance. It is kept from the scan that finds the socket until the socket is removed.
 
@@ -78,14 +88,25 @@
         """Whether the last poll or change was answered with the instance's state."""
         return self.reachability is Reachability.REACHABLE
 
-    async def request(self, route: Route, body: RequestBody | None = None) -> JsonObject:
+    async def request(
+        self,
+        route: Route,
+        body: RequestBody | None = None,
+        is_desired: Callable[[], bool] = always_desired,
+    ) -> JsonObject:
         """Send a request and return the JSON object of the response.
 
+        Args:
+            is_desired: Whether to send the request after all, called when its turn comes.
+
         Raises:
             UnreachableError: no usable response arrived within the time limit.
             RequestRejectedError: the response reports an error.
+            RequestWithdrawnError: `is_desired` returned False.
         """
         async with self._lock:
+            if not is_desired():
+                raise RequestWithdrawnError
             try:
                 async with asyncio.timeout(self._timeout_s):
                     response = await self._connection.exchange(route, body)
@@ -100,14 +121,20 @@
             raise response.rejection()
         return response.body
 
-    async def request_change(self, route: Route, body: RequestBody | None = None) -> None:
+    async def request_change(
+        self,
+        route: Route,
+        body: RequestBody | None = None,
+        is_desired: Callable[[], bool] = always_desired,
+    ) -> None:
         """Send a request whose response is the instance's state, and record that state.
 
         Raises:
             UnreachableError: see `request`.
             RequestRejectedError: see `request`.
+            RequestWithdrawnError: see `request`.
         """
-        self._record_state(await self.request(route, body))
+        self._record_state(await self.request(route, body, is_desired))
 
     def _unreachable_error(self, error: BaseException) -> UnreachableError | None:
         """Convert the error of a failed exchange; None if the instance did not cause it."""
--- a/tests/agent/test_changes.py
+++ b/tests/agent/test_changes.py
@@ -106,6 +106,25 @@
         assert len({instance.digest for instance in instances.values()}) == 1
 
 
+@pytest.mark.parametrize("action", [pb.DEED_ABORT, pb.DEED_PAUSE])
+async def test_a_stopped_rollout_is_not_sent_to_instances_that_wait_for_a_request_slot(
+    harness: AgentHarness, action: pb.Deed
+) -> None:
+    """An aborted change still reached each instance of the wave whose request had to wait."""
+    harness.configure(at_once=1)
+    async with harness.agent_with_instances(4) as stub:
+        first, *waiting = harness.instances.values()
+        first.faults.response_delay_s = 0.2
+        rollout = asyncio.create_task(apply(stub))
+        await wait_for_statuses(stub, dict.fromkeys(harness.instances, "sent"))
+        await stub.Steer(pb.SteerRequest(deed=action, author="t"))
+        await rollout
+        while "sent" in (reached := await statuses(stub)).values():
+            await asyncio.sleep(0.02)
+        assert reached == {"i0": "has", "i1": "lacks", "i2": "lacks", "i3": "lacks"}
+        assert [instance.received_generations for instance in waiting] == [[], [], []]
+
+
 class DelayedStoreReads:
     """Delays each read of a rollout from the store until the planner has run once more.
 
--- a/tests/agent/test_control_client.py
+++ b/tests/agent/test_control_client.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
 from pathlib import Path
 from typing import Any
 
 import msgspec
 import pytest
 
-from anisespool.agent.control_client import ControlClient, Reachability, UnreachableError
+from anisespool.agent.control_client import (
+    ControlClient,
+    Reachability,
+    RequestWithdrawnError,
+    UnreachableError,
+)
 from anisespool.agent.control_protocol import FleetDrainsBody, InvalidStateError, parse_state
 from anisespool.control import routes
 from anisespool.fakes.instance import Instance
@@ -136,3 +142,26 @@
 def test_a_request_body_omits_fields_with_their_default() -> None:
     body = msgspec.to_builtins(FleetDrainsBody(4, ["s-1"], check=True))
     assert body == {"revision": 4, "ids": ["s-1"], "check": True}
+
+
+async def test_a_change_that_is_withdrawn_while_another_request_is_open_is_not_sent(
+    instance: Instance, client: ControlClient
+) -> None:
+    """A rollout may be aborted while a poll of the instance delays the change."""
+    async with instance.serve():
+        await client.poll()
+        instance.faults.response_delay_s = TIMEOUT_S / 4
+        poll = asyncio.create_task(client.poll())
+        await asyncio.sleep(0)  # the poll begins
+        is_desired = True
+        body = FleetDrainsBody(1, ["s-0"])
+        change = asyncio.create_task(
+            client.request_change(routes.SET_FLEET_DRAINS, body, is_desired=lambda: is_desired)
+        )
+        await asyncio.sleep(0)  # the change waits for the poll
+        is_desired = False
+        with pytest.raises(RequestWithdrawnError):
+            await change
+        await poll
+        assert instance.drains_revision == 0
+        client.close()
