Close every client connection at the end of the graceful shutdown

A request that its client completes more than 1 s after the listener has closed, while the sidecar writes its records (up to 10 s), was read and forwarded. If the process ended before the endpoint answered, it ran without a response.

Cause: shut_down closes idle connections at its end, and one with half a request is not idle. The event loop that wrote the records went on serving it.

Evidence: all but the last byte, shut_down to its end, the last byte: the endpoint served the request (the test failed before with a 200).

Change: the connections that are left are closed at the end of shut_down. One whose response is partly unsent counts as in use until the shutdown's time limit, so that no closed one has a response to send.

--- a/anisespool/listener/shutdown.py
+++ b/anisespool/listener/shutdown.py
@@ -31,6 +31,10 @@
     await server.close_listener()
     await _wait_for_connections(server, deadline_s)
     server.table.close_idle()
+    # The process may write its records for some time yet. A request completed meanwhile could be executed
+    # without a response to its client.
+    for connection in server.connections:
+        connection.abort()
     await asyncio.sleep(0)  # lets the event loop close the connections
 
 
@@ -49,8 +53,8 @@
 
 
 def _in_use(connection: TrackedConnection, partial_until_s: float) -> bool:
-    """Whether a response is due, input is unread or (until `partial_until_s`) a request is incomplete."""
-    if connection.has_pending_response:
+    """Whether a response is due or unsent, input unread, or a request incomplete until `partial_until_s`."""
+    if connection.has_pending_response or connection.has_unsent_output:
         return True
     if not connection.is_idle and asyncio.get_running_loop().time() < partial_until_s:
         return True
--- a/tests/listener/test_shutdown.py
+++ b/tests/listener/test_shutdown.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
 
 from anisespool.balancer import interface as api
 from anisespool.fakes.endpoint import Endpoint
+from anisespool.listener import shutdown as listener_shutdown
 from anisespool.listener import timeouts
 from anisespool.listener.server import Server
+from anisespool.listener.shutdown import shut_down
 from anisespool.sidecar import shutdown
 from tests.harness.client import request_bytes
 from tests.harness.running_sidecar import running_sidecar
@@ -129,6 +132,24 @@
             writer.close()
 
 
+async def test_a_request_that_is_completed_after_the_shutdown_is_not_forwarded(
+    tmp_path: Path, servers: list[Server], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It ran without a response: the process writes its records after the shutdown, and then ends."""
+    monkeypatch.setattr(listener_shutdown, "PARTIAL_REQUEST_GRACE_S", 0.05)
+    request = request_bytes("once", body=b"abc")
+    async with Endpoint().serve() as endpoint, running_sidecar(tmp_path, endpoint) as sidecar:
+        reader, writer = await asyncio.open_connection(*sidecar.address)
+        writer.write(request[:-1])
+        await wait_until(lambda: bool(servers[0].connections) and not servers[0].connections[0].is_idle)
+        await shut_down(servers[0], accept_s=0.0, timeout_s=5.0)
+        writer.write(request[-1:])
+        with suppress(ConnectionResetError):
+            assert await reader.read() == b""
+        assert endpoint.requests == []
+        writer.close()
+
+
 @pytest.mark.usefixtures("short_shutdown")
 async def test_a_client_that_never_reads_does_not_delay_shutdown(
     tmp_path: Path, servers: list[Server], monkeypatch: pytest.MonkeyPatch
