--- a/tests/records/test_sending.py
+++ b/tests/records/test_sending.py
@@ -85,6 +85,38 @@
         assert not receiver.errors
 
 
+@pytest.mark.parametrize("transport", ["unix", "tcp", "tcp-newline", "tls"])
+async def test_a_record_that_was_dropped_at_the_end_is_not_delivered_by_the_closed_socket(
+    transport: str, tmp_path: Path
+) -> None:
+    """The kernel goes on sending after the close: only records that count as sent may arrive."""
+    async with run_receiver(transport, tmp_path, receive_buffer_bytes=8192, is_reading=False) as (
+        receiver,
+        section,
+    ):
+        options = parse_options(
+            section,
+            max_buffered_records=10_000,
+            max_buffered_bytes=2**24,
+            flush_interval_ms=0,
+            shutdown_flush_s=0.1,
+        )
+        recorder = start_recorder(options)
+        for number in range(1, 3001):
+            recorder.record(random_request(Random(number), number)._replace(outcome=Outcome.SERVED))
+        await recorder.close()
+        sent = sum(recorder.counts.sent)
+        assert sent + sum(recorder.queue.dropped) == 3000
+        receiver.set_reading(True)
+        if transport == "unix":
+            await wait_until(lambda: len(received_numbers(receiver)) == sent)
+        else:
+            await receiver.wait_until_disconnected()
+        received = received_numbers(receiver)
+        assert received == list(range(1, len(received) + 1))
+        assert len(received) <= sent < 3000
+
+
 async def test_a_partially_sent_record_is_sent_completely_on_the_next_connection(tmp_path: Path) -> None:
     async with run_receiver(
         "tcp", tmp_path, reset_after_bytes=300, max_read_bytes=50, receive_buffer_bytes=4096
