Reserve the ports of tests that start sidecars and agents, so that no other test is given them

A listener binds its port before it listens. Tests took a port from free_port(), which does not hold it: the kernel may give it to another test's bind(0), and the test that found it then binds and listens first.

Change: a fixture holds the port, bound and not listening, until the test ends.

--- a/tests/agent/test_service.py
+++ b/tests/agent/test_service.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import socket
+from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -158,28 +159,29 @@
 
 
 @pytest.fixture
-def tls(tmp_path: Path) -> TlsSetup:
+def tls(tmp_path: Path) -> Iterator[TlsSetup]:
     authority = trustme.CA()
     server = authority.issue_cert("127.0.0.1")
     client = authority.issue_cert("operator")
     authority.cert_pem.write_to_path(tmp_path / "ca")
     server.private_key_pem.write_to_path(tmp_path / "key")
     server.cert_chain_pems[0].write_to_path(tmp_path / "cert")
-    address = f"127.0.0.1:{platform.free_port()}"
     root = authority.cert_pem.bytes()
-    return TlsSetup(
-        address=address,
-        agent_options={
-            "tcp": address,
-            "clients_ca": str(tmp_path / "ca"),
-            "certificate": str(tmp_path / "cert"),
-            "key": str(tmp_path / "key"),
-        },
-        with_certificate=grpc.ssl_channel_credentials(
-            root, client.private_key_pem.bytes(), client.cert_chain_pems[0].bytes()
-        ),
-        without_certificate=grpc.ssl_channel_credentials(root),
-    )
+    with platform.reserve_port() as reserved:
+        address = "{}:{}".format(*reserved.getsockname())
+        yield TlsSetup(
+            address=address,
+            agent_options={
+                "tcp": address,
+                "clients_ca": str(tmp_path / "ca"),
+                "certificate": str(tmp_path / "cert"),
+                "key": str(tmp_path / "key"),
+            },
+            with_certificate=grpc.ssl_channel_credentials(
+                root, client.private_key_pem.bytes(), client.cert_chain_pems[0].bytes()
+            ),
+            without_certificate=grpc.ssl_channel_credentials(root),
+        )
 
 
 async def test_tcp_requires_a_client_certificate(harness: AgentHarness, tls: TlsSetup) -> None:
--- a/tests/sidecar/test_process_end.py
+++ b/tests/sidecar/test_process_end.py
@@ -10,7 +10,7 @@
 
 from anisespool.config.platform import Address
 from anisespool.fakes import http1
-from anisespool.fakes.platform import member, reserve_port
+from anisespool.fakes.platform import member
 from tests.harness.client import request_bytes
 from tests.harness.platform_config import NO_LISTENER, write_config
 from tests.harness.stalled_endpoint import LONG_BODY, read_to_end, stalled_endpoint, unread_bytes
@@ -20,12 +20,10 @@
 
 @pytest.mark.parametrize("end_signal", [signal.SIGKILL, signal.SIGTERM])
 async def test_a_process_that_has_ended_delivers_nothing_more(
-    tmp_path: Path, end_signal: signal.Signals
+    tmp_path: Path, listen: str, end_signal: signal.Signals
 ) -> None:
     """The kernel went on delivering a killed sidecar's requests, which ran beside their clients' retries."""
     async with stalled_endpoint() as (endpoint, accepted):
-        reserved = reserve_port()
-        listen = "{}:{}".format(*reserved.getsockname())
         env = write_config(tmp_path, NO_LISTENER, [member("s-0", endpoint)], listen)
         process = await start_program(env)
         reader, writer = await asyncio.open_connection(*Address.parse(listen))
@@ -40,4 +38,3 @@
         assert received.was_reset
         assert len(received.data) < len(LONG_BODY)
         writer.close()
-        reserved.close()
--- a/tests/sidecar/test_program.py
+++ b/tests/sidecar/test_program.py
@@ -18,7 +18,7 @@
 from anisespool.discovery.timeouts import INITIAL_BACKOFF_S
 from anisespool.fakes.endpoint import OK, Endpoint
 from anisespool.fakes.http1 import read_response
-from anisespool.fakes.platform import free_port, member
+from anisespool.fakes.platform import member
 from anisespool.fakes.server import FakeServer, reset
 from tests.harness.client import HEALTH_CHECK, request_bytes, send_request, wait_until_health
 from tests.harness.platform_config import NO_LISTENER, write_config
@@ -70,7 +70,9 @@
             assert name in log
 
 
-async def test_after_sigterm_open_and_late_requests_get_responses_and_the_status_is_0(tmp_path: Path) -> None:
+async def test_after_sigterm_open_and_late_requests_get_responses_and_the_status_is_0(
+    tmp_path: Path, listen: str
+) -> None:
     release = asyncio.Event()
 
     async def respond_when_released(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -78,7 +80,6 @@
         writer.write(OK)
 
     async with Endpoint(respond_when_released).serve() as endpoint:
-        listen = f"127.0.0.1:{free_port()}"
         env = write_config(tmp_path, NO_LISTENER, [member("s-0", endpoint.address)], listen)
         process = await start_program(env)
         address = Address.parse(listen)
@@ -100,9 +101,10 @@
             await asyncio.open_connection(*address)
 
 
-async def test_a_connection_without_a_request_does_not_delay_the_shutdown(tmp_path: Path) -> None:
+async def test_a_connection_without_a_request_does_not_delay_the_shutdown(
+    tmp_path: Path, listen: str
+) -> None:
     async with Endpoint().serve() as endpoint:
-        listen = f"127.0.0.1:{free_port()}"
         process = await start_program(
             write_config(tmp_path, NO_LISTENER, [member("s-0", endpoint.address)], listen)
         )
@@ -115,9 +117,9 @@
 
 async def test_a_partial_request_at_sigterm_gets_a_response_if_it_is_completed_soon(
     tmp_path: Path,
+    listen: str,
 ) -> None:
     async with Endpoint().serve() as endpoint:
-        listen = f"127.0.0.1:{free_port()}"
         process = await start_program(
             write_config(tmp_path, NO_LISTENER, [member("s-0", endpoint.address)], listen)
         )
@@ -148,9 +150,10 @@
         reset(writer)
 
 
-async def test_a_closed_standard_error_causes_neither_a_lost_response_nor_a_busy_loop(tmp_path: Path) -> None:
+async def test_a_closed_standard_error_causes_neither_a_lost_response_nor_a_busy_loop(
+    tmp_path: Path, listen: str
+) -> None:
     """The balancer's decision about a response and the watch's next attempt each follow a log line."""
-    listen = f"127.0.0.1:{free_port()}"
     error = b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n"
     async with Endpoint(error).serve() as bad, ResettingDiscovery().serve() as discovery:
         process = await start_program(
@@ -168,7 +171,7 @@
         assert await process.wait() == 0
 
 
-async def test_a_full_standard_error_that_nobody_reads_does_not_block(tmp_path: Path) -> None:
+async def test_a_full_standard_error_that_nobody_reads_does_not_block(tmp_path: Path, listen: str) -> None:
     """The pipe is full before the first line; the first line that fits has the number of dropped ones."""
     read_end, write_end = os.pipe()
     os.set_blocking(write_end, False)
@@ -177,7 +180,6 @@
         while True:
             filled += os.write(write_end, b"x" * 4096)
     os.set_blocking(write_end, True)  # The program gets a pipe to which a write would block.
-    listen = f"127.0.0.1:{free_port()}"
     error = b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n"
     async with Endpoint(error).serve() as bad:
         env = write_config(tmp_path, NO_LISTENER, [member("s-0", bad.address)], listen)
--- a/tests/sidecar/test_reload.py
+++ b/tests/sidecar/test_reload.py
@@ -17,7 +17,7 @@
 from anisespool.discovery.drains import DrainTracker
 from anisespool.fakes.discovery import ScriptedDiscovery
 from anisespool.fakes.endpoint import Endpoint
-from anisespool.fakes.platform import free_port, member, member_list
+from anisespool.fakes.platform import member, member_list
 from anisespool.proxy import endpoint_registry
 from anisespool.sidecar import composition
 from tests.harness.client import request_bytes, send_request, wait_until_health
@@ -55,12 +55,12 @@
     file.write_text(valid)
 
 
-async def test_sighup_moves_the_watch_and_an_invalid_file_is_logged(tmp_path: Path) -> None:
+async def test_sighup_moves_the_watch_and_an_invalid_file_is_logged(tmp_path: Path, listen: str) -> None:
     old_discovery = ScriptedDiscovery()
     new_discovery = ScriptedDiscovery()
     endpoint = Endpoint()
     async with old_discovery.serve(), new_discovery.serve(), endpoint.serve():
-        env = write_config(tmp_path, old_discovery.address, [], f"127.0.0.1:{free_port()}")
+        env = write_config(tmp_path, old_discovery.address, [], listen)
         starting = asyncio.create_task(start_program(env))
         await wait_until(lambda: len(old_discovery.connections) == 1)
         config_file = Path(env["LB_CONFIG"])
@@ -82,12 +82,10 @@
         assert process.returncode == 0
 
 
-async def test_sighup_during_shutdown_does_not_kill_the_process(tmp_path: Path) -> None:
+async def test_sighup_during_shutdown_does_not_kill_the_process(tmp_path: Path, listen: str) -> None:
     """SIGHUP is sent repeatedly from SIGTERM until the process has ended."""
     async with Endpoint(never_respond).serve() as endpoint:
-        env = write_config(
-            tmp_path, NO_LISTENER, [member("s-0", endpoint.address)], f"127.0.0.1:{free_port()}"
-        )
+        env = write_config(tmp_path, NO_LISTENER, [member("s-0", endpoint.address)], listen)
         process = await start_program(env)
         response = asyncio.create_task(
             send_request(Address.parse(env["LB_LISTEN"]), request_bytes("once", left_ms=300))
--- a/tests/sidecar/test_start.py
+++ b/tests/sidecar/test_start.py
@@ -10,7 +10,7 @@
 from anisespool.config.platform_loader import load_platform_config
 from anisespool.fakes.discovery import DiscoveryService, Outage
 from anisespool.fakes.endpoint import Endpoint
-from anisespool.fakes.platform import free_port, member
+from anisespool.fakes.platform import member
 from anisespool.sidecar import Signals, run
 from tests.harness.client import request_bytes, send_request
 from tests.harness.platform_config import write_config
@@ -20,7 +20,7 @@
 
 @pytest.mark.parametrize("discovery_behavior", ["responds", "silent", "resets"])
 async def test_the_first_request_uses_the_list_of_discovery_or_if_it_fails_the_cached_list(
-    tmp_path: Path, discovery_behavior: str
+    tmp_path: Path, listen: str, discovery_behavior: str
 ) -> None:
     """In push mode, discovery's list counts as delivered from the start of the process. So the sidecar does
     not listen until discovery has responded or failed, or the drain grace period has passed."""
@@ -28,7 +28,6 @@
         discovery = DiscoveryService([member("s-0", old.address, "draining"), member("s-1", new.address)])
         grace_ns = 60 * SECOND if discovery_behavior == "responds" else 50 * MS
         cached = [member("s-0", old.address)]
-        listen = f"127.0.0.1:{free_port()}"
         env = write_config(tmp_path, discovery.address, cached, listen, guarantees__drain_grace_ns=grace_ns)
         async with discovery.serve():
             discovery.set_outage(Outage.RESET if discovery_behavior == "resets" else Outage.SILENT)
