Take the time for which a pipelined request lies unread off its client's time

Cause: a connection is not read while its pipeline is full, and a request was stamped with the time of its read.

Evidence: a test with eight requests of 60,000 bytes behind an open one.

Change: from its first pause on a connection keeps a lower bound of the arrival of unread input: the last read, or a later look at an empty socket during the pause. It holds until reading has gone on for 10 ms and left the socket empty, as the client's kernel refills the sidecar's first. A client that goes on sending without a gap catches up as well.

--- a/anisespool/listener/connection.py
+++ b/anisespool/listener/connection.py
@@ -12,6 +12,7 @@
 from anisespool.codec import http1
 from anisespool.listener import timeouts
 from anisespool.listener.connection_table import ConnectionTable
+from anisespool.listener.input_arrival import InputArrival
 from anisespool.listener.keepalive import ReuseHistory
 from anisespool.listener.listener_context import ListenerContext
 from anisespool.listener.request import DuplicateTraceId, InvalidRequest, validate_request
@@ -56,6 +57,7 @@
         # Plain attributes, because a class for the pipeline would cost two more calls for each request.
         self._pipelined: deque[PipelinedRequest] = deque()
         self._pipelined_body_bytes = 0
+        self._arrival: InputArrival | None = None  # set by the first pause of reading
         self._idle_before_request_s = 0.0
         # State of the open request. Its id is 0 until the proxy's `start_request` has returned.
         self._has_open_request = False
@@ -113,9 +115,10 @@
             self._discard_input()
             return
         now_ns = time.monotonic_ns()
+        received_ns = self._arrival.input_read(now_ns) if self._arrival else now_ns
         begins_request = not self._parser.partial
         for request in self._parser.feed(data):
-            self._pipelined.append(PipelinedRequest(request, now_ns))
+            self._pipelined.append(PipelinedRequest(request, received_ns))
             self._pipelined_body_bytes += len(request.body)
         if begins_request and not self._has_open_request:
             now_s = now_ns / 1e9
@@ -124,9 +127,10 @@
         if self._parser.expects_continue and self._transport and not self._has_open_request:
             self._parser.expects_continue = False
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        if self._pipeline_full and self._transport:
-            self._transport.pause_reading()
-            self._table.paused.add(self)
+        if self._pipeline_full:
+            self._pause_reading(now_ns)
+        elif self._arrival and self._arrival.is_behind:
+            self._arrival.read_finished(is_empty=not self.has_unread_input)
         self._start_requests()
 
     def eof_received(self) -> None:
@@ -146,6 +150,32 @@
             self._table.keep_alive_policy.connection_closed(self.history)
         self._parser.close()
 
+    def _pause_reading(self, now_ns: int) -> None:
+        """Read no more requests ahead."""
+        if not self._transport:
+            return
+        self._transport.pause_reading()
+        self._table.paused.add(self)
+        if self._arrival:
+            self._arrival.reading_paused(now_ns)
+        else:
+            self._arrival = InputArrival(now_ns)
+
+    def _continue_reading(self) -> None:
+        """Read requests again if reading is paused."""
+        if self not in self._table.paused or not self._transport:
+            return
+        self._note_unread_input()
+        if self._arrival:
+            self._arrival.reading_resumed(time.monotonic_ns())
+        self._transport.resume_reading()
+        self._table.paused.discard(self)
+
+    def _note_unread_input(self) -> None:
+        """Note during a pause of reading whether the client has sent more by now."""
+        if self._arrival and not self.has_unread_input:
+            self._arrival.input_empty(time.monotonic_ns())
+
     def _discard_input(self) -> None:
         """Throttle a client that keeps sending after an error; reading all its input would use up the CPU."""
         if self._transport and not self._transport.is_closing():
@@ -175,9 +205,8 @@
                 return
             request, received_ns = self._pipelined.popleft()
             self._pipelined_body_bytes -= len(request.body)
-            if self._transport and not self._pipeline_full:
-                self._transport.resume_reading()
-                self._table.paused.discard(self)
+            if not self._pipeline_full:
+                self._continue_reading()
             self._has_open_request = True
             self._request_id = 0
             self._keep_alive = request.keep_alive
@@ -309,14 +338,16 @@
         else:
             self.close_if_idle()
 
-    def close_if_peer_closed(self) -> None:
-        """Close the connection and cancel its requests if the client has disconnected.
+    def check_paused(self) -> None:
+        """Look at the socket while reading is paused.
 
-        This is detected even while reading is paused.
+        Closes the connection and cancels its requests if the client has disconnected.
         """
         if poll_now(self._transport, PEER_CLOSED_EVENTS):
             self.abort()
             self._cancel()
+        else:
+            self._note_unread_input()
 
     def close_if_idle(self) -> bool:
         """Close the connection if it is idle and has no unread input; return whether it was closed."""
--- a/anisespool/listener/server.py
+++ b/anisespool/listener/server.py
@@ -103,7 +103,7 @@
             for connection in self.table.inactive:
                 connection.apply_timeouts(now_s)
             for connection in list(self.table.paused):
-                connection.close_if_peer_closed()
+                connection.check_paused()
 
     async def close_listener(self) -> None:
         """Accept the connections in the backlog, then close the listening socket."""
--- a/anisespool/listener/tracked_connection.py
+++ b/anisespool/listener/tracked_connection.py
@@ -40,8 +40,8 @@
     def apply_timeouts(self, now_s: float) -> None:
         """Close or reject the connection if its client took too long (`now_s`: monotonic clock)."""
 
-    def close_if_peer_closed(self) -> None:
-        """Close the connection if the client has disconnected, detected even while reading is paused."""
+    def check_paused(self) -> None:
+        """Look at the socket while reading is paused: close the connection if the client has disconnected."""
 
     def close_if_idle(self) -> bool:
         """Close the connection if it is idle and has no unread input; return whether it was closed."""
--- a/tests/proxy/test_proxy.py
+++ b/tests/proxy/test_proxy.py
@@ -245,6 +245,28 @@
         writer.close()
 
 
+async def test_the_wait_of_unread_requests_counts_towards_their_timeout(tmp_path: Path) -> None:
+    """Requests behind a full pipeline got their whole time anew when read, and were answered late."""
+    async with (
+        Endpoint(respond_after(0.3)).serve() as endpoint,
+        running_sidecar(tmp_path, endpoint) as sidecar,
+    ):
+        reader, writer = await asyncio.open_connection(*sidecar.address)
+        writer.write(request_bytes("once", "t0"))
+        # More bodies than the sidecar reads at a time, so that the rest waits in the kernel.
+        rest = [request_bytes("once", f"t{n}", left_ms=500, body=b"x" * 60_000) for n in range(1, 9)]
+        writer.write(b"".join(rest))
+        started_s = monotonic()
+        replies = b""
+        while replies.count(b"HTTP/1.1 ") < len(rest) + 1:
+            replies += await reader.read(65536)
+        assert monotonic() - started_s < 0.5 + DEADLINE_TOLERANCE_S
+        assert len(endpoint.requests) == 2
+        told_ms = int(endpoint.requests[1].headers[b"x-expires-in-ms"])
+        assert told_ms <= 200
+        writer.close()
+
+
 def corrupted(rng: random.Random, data: bytes) -> bytes:
     """Return `data` with some bytes changed, or random bytes instead."""
     changed = bytearray(data)
--- a/tests/test_dependencies.py
+++ b/tests/test_dependencies.py
@@ -113,6 +113,7 @@
     "discovery/repeat_limit.py",
     "discovery/timeouts.py",
     "discovery/update_progress.py",
+    "listener/input_arrival.py",
     "listener/keepalive.py",
     "listener/timeouts.py",
     "membership/anti_entropy.py",
