Let a keyed request's retry allow for the connect timeout that connections have

Cause: one setting with two readers. Connections used the operator's timeout, the margin before the window's end the platform's. Where the platform sets none, connections used 1 s and the margin 0.

Evidence: on sockets, window 1 s, first attempt lost after 0.2 s: with 900 ms the retries were sent (3 attempts; the test failed before), although a connect that takes as long ends after 1.1 s.

Change: the cluster owns the timeout; the proxy passes it to the balancer when it is built and with each change.

--- a/anisespool/balancer/balancer.py
+++ b/anisespool/balancer/balancer.py
@@ -103,6 +103,10 @@
             self._resume(self._runnable.pop())
         return self._actions
 
+    def set_connect_timeout(self, timeout_ns: int) -> None:
+        """Replace the settings' connect timeout by the one that connections have, from the next event on."""
+        self.eligibility.set_connect_timeout(timeout_ns)
+
     def _on_endpoint_list(self, update: api.EndpointListUpdate) -> None:
         if update.kind is EndpointListKind.FAILED:
             self._actions += self._log.endpoint_list_call_failed(self.now, len(self.endpoints.ready))
--- a/anisespool/balancer/selection/eligibility.py
+++ b/anisespool/balancer/selection/eligibility.py
@@ -18,7 +18,12 @@
 
     def __init__(self, settings: Settings) -> None:
         clock_ns = TRANSIT_RESOLUTION_MULTIPLE * settings.resolution_ns
-        self.max_transit_ns = settings.connect_timeout_ns + clock_ns + settings.answer_slack_ns
+        self._connected_transit_ns = clock_ns + settings.answer_slack_ns
+        self.set_connect_timeout(settings.connect_timeout_ns)
+
+    def set_connect_timeout(self, timeout_ns: int) -> None:
+        """Set how long a retry may wait for its connection."""
+        self.max_transit_ns = timeout_ns + self._connected_transit_ns
 
     def eligible(self, request: PendingRequest, subset: list[Endpoint], now: int) -> list[Endpoint]:
         """Return the endpoints of the subset that may get the request's next attempt; there may be none."""
--- a/anisespool/proxy/observed.py
+++ b/anisespool/proxy/observed.py
@@ -93,8 +93,9 @@
     def configure_connections(
         self, max_idle: int, reuse_delay_s: float, connect_timeout_s: float | None
     ) -> None:
-        """See `Cluster.configure_connections`."""
+        """See `Cluster.configure_connections`. The balancer expects connects to take as long."""
         self.cluster.configure_connections(max_idle, reuse_delay_s, connect_timeout_s)
+        self._driver.balancer.set_connect_timeout(self.cluster.connect_timeout_ns)
 
     def connection_counts(self, number: int) -> EndpointConnections:
         """See `Cluster.connection_counts`."""
--- a/anisespool/proxy/proxy.py
+++ b/anisespool/proxy/proxy.py
@@ -43,8 +43,10 @@
         self._classes = config.settings.classes
         self.cluster = cluster
         self._registry = EndpointRegistry(cluster, self._reapply_listings)
+        balancer = Balancer(config.settings, config.seed)
+        balancer.set_connect_timeout(cluster.connect_timeout_ns)
         self._driver = BalancerDriver(
-            Balancer(config.settings, config.seed),
+            balancer,
             {
                 api.Send: self._send,
                 api.Reject: self._reject,
--- a/anisespool/upstream/cluster.py
+++ b/anisespool/upstream/cluster.py
@@ -22,6 +22,7 @@
 DEFAULT_CONNECT_TIMEOUT_S = 1.0  # used if the platform sets no timeout
 SWEEP_INTERVAL_SHARE = 0.25  # time between two sweeps, as a share of the idle timeout
 MAX_SWEEP_INTERVAL_S = 1.0
+NS_PER_S = 1_000_000_000
 
 
 class EndpointConnections(NamedTuple):
@@ -59,11 +60,11 @@
             max_connections: Limit on open connections and connects in progress, over all endpoints.
             reuse_delay_s: See `ConnectionSettings`.
         """
-        self._default_connect_timeout_s = connect_timeout_ns / 1e9 or DEFAULT_CONNECT_TIMEOUT_S
+        self._default_connect_timeout_s = connect_timeout_ns / NS_PER_S or DEFAULT_CONNECT_TIMEOUT_S
         self._settings = ConnectionSettings(
             report_columns,
             self._default_connect_timeout_s,
-            keepalive_ns / 1e9 * IDLE_TIMEOUT_SHARE,
+            keepalive_ns / NS_PER_S * IDLE_TIMEOUT_SHARE,
             reuse_delay_s,
             MAX_IDLE_CONNECTIONS,
         )
@@ -73,6 +74,11 @@
         self.connections: set[PooledConnection] = set()
         self.connecting_count = 0
 
+    @property
+    def connect_timeout_ns(self) -> int:
+        """The connect timeout of new connections."""
+        return int(self._settings.connect_timeout_s * NS_PER_S)
+
     @property
     def pools(self) -> list[ConnectionPool]:
         """The connection pool of each endpoint."""
