Keep SIGHUP pending until a starting sidecar handles it

Cause: the handlers are installed after the imports, and until then SIGHUP has its default action.

Evidence: SIGHUP as the process begins to import the sidecar; it ended with -1 (the test failed before).

Change: __main__ blocks SIGHUP before that import, and the handlers' installation unblocks it. The signal is then handled and the file read again, so that no change is lost. The interpreter's own start before __main__ is not covered.

--- a/anisespool/__main__.py
+++ b/anisespool/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
 
@@ -13,6 +14,9 @@
     """
     arguments = sys.argv[1:]
     if not arguments or arguments[0] == "sidecar" and _are_sidecar_arguments(arguments[1:]):
+        # Pending until the sidecar handles it (sidecar/process_signals.py). By default it ends the process,
+        # and the imports take a tenth of a second.
+        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
         from anisespool.sidecar import main as run_sidecar
 
         return run_sidecar(arguments[2] if len(arguments) == 3 else None)
--- a/anisespool/sidecar/process_signals.py
+++ b/anisespool/sidecar/process_signals.py
@@ -9,8 +9,8 @@
 class Signals:
     """Events set by signals: SIGTERM and SIGINT stop the sidecar, SIGHUP reloads its configuration.
 
-    The handlers are installed before anything else is built, so that a SIGHUP during start-up is pending and
-    does not kill the process.
+    The handlers are installed before anything else is built. Until then SIGHUP is blocked (`__main__`), so
+    that one during start-up is pending and does not kill the process.
 
     Attributes:
         stop: Set once the process has to end.
@@ -27,6 +27,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload.set)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
 
 
 def block_signals() -> None:
--- a/tests/sidecar/test_start.py
+++ b/tests/sidecar/test_start.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import sys
 from pathlib import Path
 
 import pytest
 
 from anisespool.config.platform_loader import load_platform_config
-from anisespool.fakes.discovery import DiscoveryService, Outage
+from anisespool.fakes.discovery import DiscoveryService, Outage, ScriptedDiscovery
 from anisespool.fakes.endpoint import Endpoint
 from anisespool.fakes.platform import member
 from anisespool.sidecar import Signals, run
@@ -48,3 +50,37 @@
             )
             discovery.set_outage(Outage.NONE)
             task.cancel()
+
+
+# Runs the program, which gets a SIGHUP when it begins to import the sidecar.
+PROGRAM_WITH_EARLY_SIGHUP = """
+import os, signal, sys
+
+class EarlySighup:
+    def find_spec(self, name, path, target=None):
+        if name == "anisespool.sidecar":
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, EarlySighup())
+sys.argv = ["anisespool"]
+from anisespool.__main__ import main
+sys.exit(main())
+"""
+
+
+async def test_a_sighup_before_the_handlers_are_installed_reloads_the_configuration(
+    tmp_path: Path, listen: str
+) -> None:
+    """It killed a process that had just been started."""
+    old_discovery = ScriptedDiscovery()
+    new_discovery = ScriptedDiscovery()
+    async with old_discovery.serve(), new_discovery.serve():
+        env = write_config(tmp_path, new_discovery.address, [], listen)
+        env["LB_DISCOVERY"] = "{}:{}".format(*old_discovery.address)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", PROGRAM_WITH_EARLY_SIGHUP, env=os.environ | env
+        )
+        await wait_until(lambda: bool(new_discovery.connections) or process.returncode is not None)
+        assert process.returncode is None
+        process.terminate()
+        assert await process.wait() == 0
