Take whitespace at the end of a header value for no part of it

Callers saw: "X-Expires-In-Ms: 480 " was answered 400. HTTP allows the space (RFC 9110, 5.5).

Cause: httptools removes whitespace before a value only. Change: the stored value has none at its end. Transfer-Encoding stays as the parser saw it, as it frames the message. The test failed before in two of four cases.

--- a/anisespool/codec/http1/message_buffer.py
+++ b/anisespool/codec/http1/message_buffer.py
@@ -72,7 +72,9 @@
         self.head_bytes += len(name) + len(value)
         if self.in_head:
             if name not in self.headers:
-                self.headers[name] = value
+                # Whitespace around a value is no part of it (RFC 9110, 5.5). httptools removes only what is
+                # before it. The value that frames the message stays as the parser saw it.
+                self.headers[name] = value if name == b"transfer-encoding" else value.rstrip(b" \t")
             elif name in SINGLE_VALUE_HEADERS:
                 self.ambiguous = True
 
--- a/tests/codec/test_http1.py
+++ b/tests/codec/test_http1.py
@@ -56,6 +56,13 @@
     response_parser.feed_eof()
 
 
+@pytest.mark.parametrize("value", [b"480", b" 480", b"480 ", b"\t 480 \t"])
+def test_whitespace_around_a_header_value_is_no_part_of_it(value: bytes) -> None:
+    """A space at the end of a number was answered 400 (RFC 9110, 5.5)."""
+    (request,) = RequestParser().feed(b"GET /look/1 HTTP/1.1\r\nX-Expires-In-Ms:" + value + b"\r\n\r\n")
+    assert request.headers[b"x-expires-in-ms"] == b"480"
+
+
 @pytest.mark.parametrize(
     ("value", "load"),
     [
