Keep the cluster's rule module free of a unit constant

docs/decisions.md lists exactly the rule constants of upstream/cluster.py, and its test failed on for NS_PER_S, which is a unit.

--- a/anisespool/upstream/cluster.py
+++ b/anisespool/upstream/cluster.py
@@ -22,7 +22,6 @@
 DEFAULT_CONNECT_TIMEOUT_S = 1.0  # used if the platform sets no timeout
 SWEEP_INTERVAL_SHARE = 0.25  # time between two sweeps, as a share of the idle timeout
 MAX_SWEEP_INTERVAL_S = 1.0
-NS_PER_S = 1_000_000_000
 
 
 class EndpointConnections(NamedTuple):
@@ -60,11 +59,11 @@
             max_connections: Limit on open connections and connects in progress, over all endpoints.
             reuse_delay_s: See `ConnectionSettings`.
         """
-        self._default_connect_timeout_s = connect_timeout_ns / NS_PER_S or DEFAULT_CONNECT_TIMEOUT_S
+        self._default_connect_timeout_s = connect_timeout_ns / 1e9 or DEFAULT_CONNECT_TIMEOUT_S
         self._settings = ConnectionSettings(
             report_columns,
             self._default_connect_timeout_s,
-            keepalive_ns / NS_PER_S * IDLE_TIMEOUT_SHARE,
+            keepalive_ns / 1e9 * IDLE_TIMEOUT_SHARE,
             reuse_delay_s,
             MAX_IDLE_CONNECTIONS,
         )
@@ -77,7 +76,7 @@
     @property
     def connect_timeout_ns(self) -> int:
         """The connect timeout of new connections."""
-        return int(self._settings.connect_timeout_s * NS_PER_S)
+        return round(self._settings.connect_timeout_s * 1e9)
 
     @property
     def pools(self) -> list[ConnectionPool]:
