Close a request's connections before the proxy's own response is written

The backstop's response was written first and the attempts were closed after it, so that an endpoint could still receive the request meanwhile.

Evidence: a test reads at the endpoint while the response is being written, and got the whole request of 60,000 bytes before.

Change: the backstop and the response after an exception of the balancer close the connections first; the attempts' status is set after the response, as before.

--- a/anisespool/proxy/exchange.py
+++ b/anisespool/proxy/exchange.py
@@ -47,6 +47,11 @@
         if self.backstop:
             self.backstop.cancel()
 
+    def stop_sending(self) -> None:
+        """Close the connections of unfinished attempts. Nothing is sent for a request after its response."""
+        for attempt in self.attempts:
+            attempt.stop_sending()
+
     def set_backstop(self, at_ns: int, on_expiry: Callable[[int], None], request_id: int) -> None:
         """Start the timer that calls `on_expiry(request_id)` at `at_ns`, replacing an earlier one."""
         if self.backstop:
--- a/anisespool/proxy/proxy.py
+++ b/anisespool/proxy/proxy.py
@@ -263,13 +263,16 @@
         if exchange and exchange.send_response:
             reason = "no_decision" if self._shutdown_deadline_at is None else "shutdown"
             log_event("backstop_response_sent", request=request_id, reason=reason)
-            self._respond(exchange, exchange.backstop_response(self._classes[exchange.call.request_class]))
+            response = exchange.backstop_response(self._classes[exchange.call.request_class])
+            exchange.stop_sending()
+            self._respond(exchange, response)
             self._abandon(request_id, exchange)
 
     def _fail_request(self, request_id: int) -> None:
         """Respond to a request and cancel its attempts, after the balancer raised an exception for it."""
         exchange = self._exchanges.get(request_id)
         if exchange:
+            exchange.stop_sending()
             self._respond(exchange, NO_DECISION_RESPONSE)
             self._abort_attempts(request_id, exchange)
 
--- a/anisespool/upstream/attempt.py
+++ b/anisespool/upstream/attempt.py
@@ -91,6 +91,13 @@
             connection.abort()
         self.finish(status_of_timeout(unsent) if status is AttemptStatus.TIMEOUT else status)
 
+    def stop_sending(self) -> None:
+        """Close the connection, so that nothing more is sent, and leave the status to `abort`."""
+        connection = self.connection
+        self.connection = None
+        if connection:
+            connection.abort()
+
     @property
     def may_have_executed(self) -> bool:
         """Whether the endpoint may have executed the request; true unless the contrary is proven.
--- a/tests/harness/stalled_endpoint.py
+++ b/tests/harness/stalled_endpoint.py
@@ -11,11 +11,13 @@
 from contextlib import asynccontextmanager
 from typing import NamedTuple
 
+from anisespool.codec.http1 import Request
 from anisespool.config.platform import Address
 
 RECEIVE_BUFFER_BYTES = 8192
 """Far less than a sidecar's kernel takes at once, so that the rest of a long request stays there."""
 LONG_BODY = b"x" * 60_000
+LONG_POST = Request(b"POST", b"/send-one/1", {b"x-trace-id": b"t1"}, LONG_BODY, True)
 READ_TIMEOUT_S = 1.0
 
 
--- a/tests/proxy/test_request_lifecycle.py
+++ b/tests/proxy/test_request_lifecycle.py
@@ -12,12 +12,20 @@
 from anisespool.config.platform_loader import load_platform_config
 from anisespool.fakes.endpoint import Endpoint
 from anisespool.fakes.platform import member, member_list
-from anisespool.proxy.call import FinalResponse
+from anisespool.proxy.call import Call, FinalResponse
 from tests.harness.client import DEADLINE_TOLERANCE_S
 from tests.harness.platform_config import write_config
+from tests.harness.stalled_endpoint import (
+    LONG_BODY,
+    LONG_POST,
+    Received,
+    read_to_end,
+    stalled_endpoint,
+    unread_bytes,
+)
 from tests.harness.waiting import wait_until
 from tests.proxy.harness import NEVER_RAN, proxy_harness, send_once
-from tests.support import MS
+from tests.support import MS, SECOND
 from tests.upstream.harness import never_respond
 
 
@@ -118,3 +126,23 @@
         assert isinstance(second, api.AttemptOutcome)
         assert second.status is api.AttemptStatus.CONNECT_FAILED
         assert not endpoint.requests
+
+
+async def test_nothing_of_a_request_is_sent_after_its_response_at_the_shutdown(tmp_path: Path) -> None:
+    """The response was written before the request's connection was closed."""
+    received: list[Received] = []
+    async with stalled_endpoint() as (address, accepted):
+        endpoint = Endpoint()
+        endpoint.address = address
+        async with proxy_harness(tmp_path, endpoint, send_once) as harness:
+
+            def read_endpoint(response: FinalResponse) -> None:
+                received.append(read_to_end(accepted.result()))  # before the event loop's next turn
+
+            harness.proxy.start_request(Call(LONG_POST, 2, 0, SECOND, None, 0, False), read_endpoint)
+            connection = await accepted
+            await wait_until(lambda: unread_bytes(connection) > 0)
+            harness.proxy.set_shutdown_deadline(0)
+            await wait_until(lambda: bool(received))
+        assert received[0].was_reset
+        assert len(received[0].data) < len(LONG_BODY)
--- a/tests/upstream/test_connection_close.py
+++ b/tests/upstream/test_connection_close.py
@@ -9,16 +9,13 @@
 import pytest
 
 from anisespool.balancer.interface import AttemptStatus
-from anisespool.codec.http1 import Request
 from anisespool.fakes.endpoint import OK
 from anisespool.upstream.attempt import Attempt
-from tests.harness.stalled_endpoint import LONG_BODY, read_to_end, stalled_endpoint, unread_bytes
+from tests.harness.stalled_endpoint import LONG_BODY, LONG_POST, read_to_end, stalled_endpoint, unread_bytes
 from tests.harness.waiting import wait_until
 from tests.support import MS, SECOND
 from tests.upstream.harness import GET, ClusterHarness
 
-POST = Request(b"POST", b"/send-one/1", {b"x-trace-id": b"t1"}, LONG_BODY, True)
-
 
 async def _time_out(attempt: Attempt, connection: socket.socket) -> None:
     await wait_until(lambda: attempt.status is AttemptStatus.TIMEOUT)
@@ -48,7 +45,7 @@
     this turn: nothing may be sent after it.
     """
     async with stalled_endpoint() as (address, accepted):
-        attempt = ClusterHarness(address).send(POST, timeout_ns=100 * MS)
+        attempt = ClusterHarness(address).send(LONG_POST, timeout_ns=100 * MS)
         connection = await accepted
         await wait_until(lambda: attempt.may_have_executed)  # the kernel has the whole request
         await end_attempt(attempt, connection)
