Let the test of a reconciliation during resume count a planner that runs before its read begins

The test delays a read of the store until the planner has run, and forgot at the read's begin that it had. The planner may run between the change of state and that moment, and then waits itself for the store, whose thread the test holds.

Change: the planner's run is forgotten after the read in place of before it. As strict: the planner runs only while the change is in state running, so that a run since the read before is one between the resume and the read's end. With the fault that the test guards against (rejections kept in memory) it still fails.

--- a/tests/agent/test_changes.py
+++ b/tests/agent/test_changes.py
@@ -126,9 +126,10 @@
 
 
 class DelayedStoreReads:
-    """Delays each read of a rollout from the store until the planner has run once more.
+    """Delays each read of a rollout from the store until the planner has run since the read before.
 
-    Operations on the store run in a separate thread, so the reconcile loop continues meanwhile.
+    Operations on the store run in a separate thread, so the reconcile loop continues meanwhile. It may have
+    run before the thread begins to read, and then waits for the store itself.
     """
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -144,8 +145,8 @@
         return step
 
     def _read(self, db: sqlite3.Connection, generation: int) -> Change | None:
-        self._planned.clear()
         self.was_planned.append(self._planned.wait(DELAYED_READ_TIMEOUT_S))
+        self._planned.clear()
         return self._last_settled_before(db, generation)
 
 
