Round the layout of a run's picture, whose last bits vary within one process

Seen: on arm64 the check that a history is drawn the same each time failed in 11 of 27 runs, with other clip ids. The layout's solver (kiwisolver, through matplotlib's constrained layout) orders its terms by their addresses in memory, so that the height of an axes differs in its last bit from one rendering to the next, and the id of a clip path is a hash of the unrounded float.

The layout is computed once and rounded to 6 decimals before the picture is written.

--- a/anisespool/lab/live/timeline_svg.py
+++ b/anisespool/lab/live/timeline_svg.py
@@ -24,6 +24,7 @@
 MIN_FAULT_WIDTH_S = 0.05
 TITLE_FONT = 9
 SMALL_FONT = 7
+POSITION_DECIMALS = 6  # of a share of the figure's size
 
 
 class _Marker(NamedTuple):
@@ -57,12 +58,26 @@
     _draw_events(members, history)
     members.set_xlabel("scenario time in s")
     members.set_xlim(0, history.scenario.seconds)
+    _fix_layout(figure)
     output = io.StringIO()
     figure.savefig(output, format="svg", metadata={"Date": None})
     plt.close(figure)
     return output.getvalue()
 
 
+def _fix_layout(figure: Any) -> None:
+    """Compute the layout once, and round it.
+
+    The layout's solver orders its terms by their addresses in memory, so that the last bits of a position
+    vary. The ids of clip paths are hashes of unrounded positions.
+    """
+    figure.draw_without_rendering()
+    figure.set_layout_engine("none")
+    for axes in figure.axes:
+        bounds = axes.get_position().bounds
+        axes.set_position([round(float(bound), POSITION_DECIMALS) for bound in bounds])
+
+
 def _draw_faults(axes: Any, history: History) -> None:
     faults = history.faults()
     for row, fault in enumerate(faults):
