--- a/anisespool/listener/connection.py
+++ b/anisespool/listener/connection.py
@@ -11,6 +11,7 @@
 
 from anisespool.codec import http1
 from anisespool.listener import timeouts
+from anisespool.listener.close_reason import CloseReason
 from anisespool.listener.connection_table import ConnectionTable
 from anisespool.listener.input_arrival import InputArrival
 from anisespool.listener.keepalive import ReuseHistory
@@ -290,6 +291,7 @@
         if self._table.may_keep_alive(self.history) or self.has_unread_input:
             return True
         self._closed_by_policy = True
+        self._table.log_close(CloseReason.KEEP_ALIVE_POLICY)
         return False
 
     def _reject(self, response: FinalResponse, request: http1.Request | None = None) -> None:
@@ -332,11 +334,11 @@
 
     def _apply(self, action: TimeoutAction) -> None:
         if action is TimeoutAction.ABORT:
-            self.abort()
+            self.abort(CloseReason.UNREAD_RESPONSE)
         elif action is TimeoutAction.REJECT:
             self._reject(FinalResponse(HTTPStatus.REQUEST_TIMEOUT))
         else:
-            self.close_if_idle()
+            self.close_if_idle(CloseReason.IDLE_TIMEOUT)
 
     def check_paused(self) -> None:
         """Look at the socket while reading is paused.
@@ -344,21 +346,23 @@
         Closes the connection and cancels its requests if the client has disconnected.
         """
         if poll_now(self._transport, PEER_CLOSED_EVENTS):
-            self.abort()
+            self.abort(CloseReason.CLIENT_CLOSED)
             self._cancel()
         else:
             self._note_unread_input()
 
-    def close_if_idle(self) -> bool:
+    def close_if_idle(self, reason: CloseReason) -> bool:
         """Close the connection if it is idle and has no unread input; return whether it was closed."""
         if not self.is_idle or not self._transport or self.has_unread_input:
             return False
+        self._table.log_close(reason)
         self._closing = True
         self._transport.close()
         return True
 
-    def abort(self) -> None:
+    def abort(self, reason: CloseReason) -> None:
         """Close immediately, without sending buffered output."""
+        self._table.log_close(reason)
         self._closing = True
         if self._transport:
             self._transport.abort()
--- a/anisespool/listener/connection_table.py
+++ b/anisespool/listener/connection_table.py
@@ -5,6 +5,7 @@
 import time
 from itertools import islice
 
+from anisespool.listener.close_reason import CloseReason
 from anisespool.listener.eviction import (
     MAX_CANDIDATE_CONNECTIONS,
     connection_to_evict,
@@ -12,6 +13,7 @@
 )
 from anisespool.listener.keepalive import KeepAliveDecision, KeepAlivePolicy, ReuseHistory
 from anisespool.listener.tracked_connection import TrackedConnection
+from anisespool.log import EventLimit, log_event
 
 
 class ConnectionTable:
@@ -35,6 +37,7 @@
         self.accepting = 0
         self.paused: set[TrackedConnection] = set()
         self.active: set[TrackedConnection] = set()
+        self._close_limit = EventLimit()
         self._new: dict[TrackedConnection, None] = {}
         self._idle: dict[TrackedConnection, None] = {}
 
@@ -101,7 +104,7 @@
         At most `MAX_CANDIDATE_CONNECTIONS` are considered.
         """
         for connection in islice(self._idle, MAX_CANDIDATE_CONNECTIONS):
-            if connection.close_if_idle():
+            if connection.close_if_idle(CloseReason.REPLACED):
                 self.discard(connection)
                 return
 
@@ -111,7 +114,7 @@
             return
         if connection := connection_to_evict(self._new, self._idle, time.monotonic()):
             self.discard(connection)
-            connection.abort()
+            connection.abort(CloseReason.EVICTED)
 
     def close_silent(self, now_s: float) -> None:
         """Close connections without a request when they use up the descriptors of a client process.
@@ -121,10 +124,15 @@
         silent = silent_connections(self._new, now_s)
         excess = max(0, int(len(self) - self.keep_alive_policy.close_silent_above))
         for connection in silent[:excess]:
-            if connection.close_if_idle():
+            if connection.close_if_idle(CloseReason.SILENT):
                 self.discard(connection)
 
-    def close_idle(self) -> None:
+    def close_idle(self, reason: CloseReason) -> None:
         """Close every connection that is idle."""
         for connection in self.connections:
-            connection.close_if_idle()
+            connection.close_if_idle(reason)
+
+    def log_close(self, reason: CloseReason) -> None:
+        """Log that the listener closes a connection."""
+        if count := self._close_limit.count_to_log(reason):
+            log_event("client_connection_closed", reason=reason, count=count)
--- a/anisespool/listener/server.py
+++ b/anisespool/listener/server.py
@@ -14,13 +14,14 @@
 from anisespool.listener.listener_context import RejectionCallback
 from anisespool.listener.timeouts import IDLE_TIMEOUT_S
 from anisespool.listener.tracked_connection import TrackedConnection
-from anisespool.log import log_event
+from anisespool.log import EventLimit, log_event
+from anisespool.loop_delay import CHECK_INTERVAL_NS, LoopDelay
 from anisespool.proxy.proxy import Proxy
 
 BACKLOG_CONNECTIONS = 512  # limit on connections that wait in the kernel, which drops further ones
 MAX_ACCEPTED_CONNECTIONS = 8  # limit for each iteration of the event loop
 ACCEPT_RETRY_S = 0.05  # delay before accepting again after an error such as a lack of descriptors
-SWEEP_INTERVAL_S = 0.1
+SWEEP_INTERVAL_S = CHECK_INTERVAL_NS / 1e9
 
 
 class Server:
@@ -35,10 +36,17 @@
         idle_timeout_s: Idle time after which a connection that has sent a request is closed.
         open_trace_ids: Trace ids of the open requests.
         on_reject: Called with each response that the listener itself produces; None if not needed.
+        loop_delay: The delay of the event loop, which the sweep checks.
     """
 
     def __init__(
-        self, proxy: Proxy, names: NameIndex, settings: Settings, max_connections: int, descriptors: int
+        self,
+        proxy: Proxy,
+        names: NameIndex,
+        settings: Settings,
+        max_connections: int,
+        descriptors: int,
+        loop_delay: LoopDelay,
     ) -> None:
         """Create a listener without a socket.
 
@@ -48,6 +56,7 @@
             settings: The platform's settings.
             max_connections: Limit on the number of client connections.
             descriptors: Limit on the number of descriptors of the whole process.
+            loop_delay: The delay of the event loop.
         """
         self.proxy = proxy
         self.names = names
@@ -57,6 +66,8 @@
         self.idle_timeout_s = IDLE_TIMEOUT_S
         self.open_trace_ids: set[bytes] = set()
         self.on_reject: RejectionCallback | None = None
+        self.loop_delay = loop_delay
+        self._delay_limit = EventLimit()
         self._listening_socket: socket.socket | None = None
         self._accept_tasks: set[asyncio.Task[None]] = set()
 
@@ -94,17 +105,24 @@
     async def sweep(self) -> None:
         """Close connections after timeouts and, if they are paused, after disconnects. Runs until cancelled.
 
-        One periodic check replaces a timer for each connection.
+        One periodic check replaces a timer for each connection, and shows how late the event loop is.
         """
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             now_s = time.monotonic()
+            self._check_delay(time.monotonic_ns())
             self.table.close_silent(now_s)
             for connection in self.table.inactive:
                 connection.apply_timeouts(now_s)
             for connection in list(self.table.paused):
                 connection.check_paused()
 
+    def _check_delay(self, now_ns: int) -> None:
+        delay_ns = self.loop_delay.check_ran(now_ns)
+        if delay_ns and (count := self._delay_limit.count_to_log("")):
+            open_requests = len(self.table.active)
+            log_event("event_loop_delayed", delay_ms=delay_ns // 1_000_000, open=open_requests, count=count)
+
     async def close_listener(self) -> None:
         """Accept the connections in the backlog, then close the listening socket."""
         if self._listening_socket:
--- a/anisespool/listener/shutdown.py
+++ b/anisespool/listener/shutdown.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from anisespool.listener.close_reason import CloseReason
 from anisespool.listener.server import Server
 from anisespool.listener.tracked_connection import TrackedConnection
 from anisespool.log import log_event
@@ -26,15 +27,15 @@
     server.stopping = True
     server.proxy.set_shutdown_deadline(int((deadline_s - FLUSH_RESERVE_S) * 1e9))
     # Clients would keep using an idle connection. If it closes now, they can still reconnect.
-    server.table.close_idle()
+    server.table.close_idle(CloseReason.SHUTDOWN)
     await asyncio.sleep(min(accept_s, timeout_s))
     await server.close_listener()
     await _wait_for_connections(server, deadline_s)
-    server.table.close_idle()
+    server.table.close_idle(CloseReason.SHUTDOWN)
     # The process may write its records for some time yet. A request completed meanwhile could be executed
     # without a response to its client.
     for connection in server.connections:
-        connection.abort()
+        connection.abort(CloseReason.SHUTDOWN)
     await asyncio.sleep(0)  # lets the event loop close the connections
 
 
--- a/anisespool/listener/tracked_connection.py
+++ b/anisespool/listener/tracked_connection.py
@@ -8,6 +8,8 @@
 
 from typing import Protocol
 
+from anisespool.listener.close_reason import CloseReason
+
 
 class TrackedConnection(Protocol):
     """One accepted connection.
@@ -43,8 +45,8 @@
     def check_paused(self) -> None:
         """Look at the socket while reading is paused: close the connection if the client has disconnected."""
 
-    def close_if_idle(self) -> bool:
+    def close_if_idle(self, reason: CloseReason) -> bool:
         """Close the connection if it is idle and has no unread input; return whether it was closed."""
 
-    def abort(self) -> None:
+    def abort(self, reason: CloseReason) -> None:
         """Close immediately, without sending buffered output."""
--- a/anisespool/proxy/proxy.py
+++ b/anisespool/proxy/proxy.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import sys
 import time
 from collections.abc import Callable
 
@@ -15,12 +14,13 @@
 from anisespool.balancer import interface as api
 from anisespool.balancer.interface import AttemptStatus, EndpointListKind
 from anisespool.config.platform import EndpointList, PlatformConfig
-from anisespool.log import log_event
+from anisespool.log import log_event, write_event
 from anisespool.proxy.balancer_driver import BalancerDriver
 from anisespool.proxy.call import Call, FinalResponse
 from anisespool.proxy.deadlines import attempts_end_at, backstop_at
 from anisespool.proxy.endpoint_registry import EndpointRegistry
 from anisespool.proxy.exchange import Exchange
+from anisespool.proxy.request_log import RequestLog
 from anisespool.upstream.attempt import Attempt
 from anisespool.upstream.cluster import Cluster
 
@@ -61,6 +61,7 @@
             self._remove_if_finished,
         )
         self._exchanges: dict[int, Exchange] = {}
+        self._request_log = RequestLog()
         self._last_request_id = 0
         self._shutdown_deadline_at: int | None = None
 
@@ -107,6 +108,7 @@
         """Cancel the attempts of a request whose client has disconnected."""
         exchange = self._exchanges.get(request_id)
         if exchange and exchange.send_response:
+            self._request_log.abandoned(request_id, exchange)
             exchange.close()
             self._abandon(request_id, exchange)
 
@@ -188,6 +190,8 @@
             deadline_ns,
             self._attempt_finished,
         )
+        if exchange.attempts:
+            self._request_log.retried(attempt, exchange)
         exchange.attempts.append(attempt)
         self.cluster.send(attempt)
 
@@ -207,7 +211,7 @@
         loop.call_later(action.delay_ns / 1e9, self._driver.submit, api.TimerExpired(action.token))
 
     def _log(self, action: api.Log | api.Fault) -> None:
-        print(action.text, file=sys.stderr)
+        write_event(action.text)
 
     def _close_idle(self, action: api.CloseIdleConnections) -> None:
         self.cluster.close_idle(action.endpoint)
@@ -242,6 +246,7 @@
         """Send the final response that the balancer has decided on, unless none is due any more."""
         exchange = self._exchanges.get(request_id)
         if exchange and exchange.send_response:
+            self._request_log.unserved(request_id, exchange, response)
             self._respond(exchange, response)
             self._remove_if_finished(request_id)
 
--- a/anisespool/sidecar/composition.py
+++ b/anisespool/sidecar/composition.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
 from typing import TYPE_CHECKING
@@ -13,6 +14,7 @@
 from anisespool.discovery.timeouts import watch_timing
 from anisespool.discovery.watch import EndpointWatch
 from anisespool.listener.server import Server
+from anisespool.loop_delay import LoopDelay
 from anisespool.proxy.proxy import Proxy
 from anisespool.sidecar.live_controls import SidecarControls
 from anisespool.sidecar.process_signals import Signals
@@ -108,7 +110,10 @@
             proxy.update_endpoints,
             watch_timing(settings),
         )
-        self.server = Server(proxy, config.names, settings, client_connections, config.max_sockets)
+        loop_delay = LoopDelay(time.monotonic_ns())
+        self.server = Server(
+            proxy, config.names, settings, client_connections, config.max_sockets, loop_delay
+        )
         self.server.on_reject = recorder.record_rejection if recorder else None
         self.controls = SidecarControls(signals, proxy, self.server, self.watch, config.discovery, recorder)
 
--- /dev/null
+++ b/tests/test_loop_delay.py
@@ -0,0 +1,38 @@
+"""When the event loop counts as late, and since when what it handles may have waited."""
+
+from __future__ import annotations
+
+import pytest
+
+from anisespool.loop_delay import BACKLOG_NS, CHECK_INTERVAL_NS, MIN_DELAY_NS, LoopDelay
+from tests.support import MS, SECOND
+
+START = 100 * SECOND
+ON_TIME = START + CHECK_INTERVAL_NS + MIN_DELAY_NS
+
+
+@pytest.mark.parametrize(("now", "earliest_at"), [(ON_TIME, ON_TIME), (ON_TIME + 1, START)])
+def test_what_is_handled_while_the_check_is_overdue_may_have_happened_since_the_last_one(
+    now: int, earliest_at: int
+) -> None:
+    loop_delay = LoopDelay(START)
+    assert loop_delay.earliest_at(now) == earliest_at
+
+
+def test_a_check_on_time_reports_no_delay() -> None:
+    loop_delay = LoopDelay(START)
+    assert loop_delay.check_ran(ON_TIME) == 0
+    assert loop_delay.earliest_at(ON_TIME + MS) == ON_TIME + MS
+
+
+def test_a_delay_is_remembered_until_its_backlog_has_been_read() -> None:
+    """Connections that waited to be accepted are read after the check has run again."""
+    loop_delay = LoopDelay(START)
+    resumed = START + SECOND
+    assert loop_delay.check_ran(resumed) == SECOND - CHECK_INTERVAL_NS
+    assert not loop_delay.is_overdue(resumed + MS)
+    assert loop_delay.earliest_at(resumed + MS) == START
+    for checks in range(1, 1 + BACKLOG_NS // CHECK_INTERVAL_NS):
+        assert loop_delay.check_ran(resumed + checks * CHECK_INTERVAL_NS) == 0
+    later = resumed + BACKLOG_NS
+    assert loop_delay.earliest_at(later) == later
