Begin no attempt for a client that has left, even if its close lies unread

Cause: the event loop reads a request, decides and writes it to an idle connection in one callback, and reads what the client sent behind it, its close, only in its next turn. In a process that did not run for a while both lie unread. The same holds for a retry after a failure that is read before the close, and for an attempt whose connection comes up in the same turn. That the client was there was true when it was last read, not when the attempt began.

In one process, with the client's connection paused: test_a_request_is_not_forwarded_if_its_client_disconnects_during_connect[close unread] failed before.

Mend: Attempt.may_begin asks the listener, just before each attempt is chosen a connection and again before it is written to a new one, whether the client's socket has been closed (poll, POLLRDHUP, as reading while paused did). If so the request is cancelled as if the close had been read. It works for whatever made the close late, as it looks at the socket and not at what was read of it. What is left is the time between the look and the write. The line attempt_not_begun says so in the log.

--- a/anisespool/listener/connection.py
+++ b/anisespool/listener/connection.py
@@ -236,10 +236,17 @@
         waited_ns = time.monotonic_ns() - received_ns
         if waited_ns > MIN_QUEUE_WAIT_NS:
             call = call._replace(timeout_ns=max(0, call.timeout_ns - waited_ns))
-        request_id = self._listener.proxy.start_request(call, self._respond_and_continue)
+        proxy = self._listener.proxy
+        request_id = proxy.start_request(call, self._respond_and_continue, self._client_has_left)
         if self._has_open_request:
             self._request_id = request_id
 
+    def _client_has_left(self) -> bool:
+        """Whether the client has ended its output, which may lie unread behind its requests."""
+        if self._closing or not self._transport or self._transport.is_closing():
+            return True
+        return poll_now(self._transport, PEER_CLOSED_EVENTS)
+
     def _reserve_trace_id(self, trace_id: bytes) -> None:
         """Reserve the trace id for as long as the request is open.
 
--- a/anisespool/proxy/exchange.py
+++ b/anisespool/proxy/exchange.py
@@ -35,6 +35,8 @@
     """Time when all attempts end, which is before the client gives up (proxy/deadlines.py)."""
     send_response: Callable[[FinalResponse], None] | None
     """Sends the final response; None once it was sent or the client has disconnected."""
+    client_has_left: Callable[[], bool]
+    """Whether the client has disconnected, even if the listener has not read that yet."""
     attempts: list[Attempt] = field(default_factory=list)
     backstop: asyncio.TimerHandle | None = None
     """Timer after which the proxy responds without the balancer."""
--- a/anisespool/proxy/proxy.py
+++ b/anisespool/proxy/proxy.py
@@ -75,11 +75,20 @@
         """Number of requests that wait for their final response or have an unfinished attempt."""
         return len(self._exchanges)
 
-    def start_request(self, call: Call, send_response: Callable[[FinalResponse], None]) -> int:
+    def start_request(
+        self,
+        call: Call,
+        send_response: Callable[[FinalResponse], None],
+        client_has_left: Callable[[], bool],
+    ) -> int:
         """Accept a request and return its id.
 
-        `send_response` is called exactly once, possibly before this method returns, unless
-        `client_disconnected` is called first.
+        Args:
+            call: The request.
+            send_response: Called exactly once, possibly before this method returns, unless the client
+                disconnects first.
+            client_has_left: Returns whether the client has disconnected, even if the listener has not read
+                that yet. Called just before each attempt begins, while a response is due.
         """
         self._last_request_id += 1
         request_id = self._last_request_id
@@ -88,7 +97,7 @@
         if self._shutdown_deadline_at is not None:
             client_gives_up_at = min(client_gives_up_at, self._shutdown_deadline_at)
         attempts_end = max(now, attempts_end_at(client_gives_up_at))
-        exchange = Exchange(call, attempts_end, send_response)
+        exchange = Exchange(call, attempts_end, send_response, client_has_left)
         self._exchanges[request_id] = exchange
         exchange.set_backstop(max(now, backstop_at(client_gives_up_at)), self._backstop_expired, request_id)
         self._driver.submit(
@@ -112,6 +121,13 @@
             exchange.close()
             self._abandon(request_id, exchange)
 
+    def _cancel_if_client_has_left(self, attempt: Attempt) -> None:
+        """Cancel the request of an attempt that would begin now, if its client has disconnected."""
+        exchange = self._exchanges.get(attempt.request_id)
+        if exchange and exchange.send_response and exchange.client_has_left():
+            self._request_log.not_begun(attempt, exchange)
+            self.client_disconnected(attempt.request_id)
+
     def set_shutdown_deadline(self, deadline_at: int) -> None:
         """Respond to all requests before this deadline, however long their clients would wait.
 
@@ -189,6 +205,7 @@
             exchange.call.request,
             deadline_ns,
             self._attempt_finished,
+            self._cancel_if_client_has_left,
         )
         if exchange.attempts:
             self._request_log.retried(attempt, exchange)
--- a/anisespool/proxy/request_log.py
+++ b/anisespool/proxy/request_log.py
@@ -23,6 +23,7 @@
         self._unserved = EventLimit()
         self._retried = EventLimit()
         self._abandoned = EventLimit()
+        self._not_begun = EventLimit()
 
     def unserved(self, request_id: int, exchange: Exchange, response: FinalResponse) -> None:
         """Log that a request got another response than an endpoint's."""
@@ -51,6 +52,17 @@
                 count=count,
             )
 
+    def not_begun(self, attempt: Attempt, exchange: Exchange) -> None:
+        """Log that an attempt does not begin, because the client has left."""
+        if count := self._not_begun.count_to_log(""):
+            log_event(
+                "attempt_not_begun",
+                request=attempt.request_id,
+                trace_id=_trace_id(exchange),
+                number=attempt.endpoint,
+                count=count,
+            )
+
     def abandoned(self, request_id: int, exchange: Exchange) -> None:
         """Log that a client has left before its response."""
         reason = _last_status(exchange)
--- a/anisespool/upstream/attempt.py
+++ b/anisespool/upstream/attempt.py
@@ -39,7 +39,8 @@
 class Attempt:
     """One attempt, from the balancer's decision to send it until its final status.
 
-    `on_finished` is called exactly once, with the attempt, when `status` is set. Times are monotonic ns.
+    `on_finished` is called exactly once, with the attempt, when `status` is set. `cancel_if_obsolete` is
+    called with the attempt before it begins, and cancels it if its client has left. Times are monotonic ns.
     """
 
     request_id: int
@@ -50,6 +51,7 @@
     request: http1.Request
     deadline_ns: int
     on_finished: Callable[[Attempt], None]
+    cancel_if_obsolete: Callable[[Attempt], None]
     status: AttemptStatus | None = None
     response: http1.Response | None = None
     load: tuple[float, ...] = ()
@@ -66,6 +68,15 @@
         loop = asyncio.get_running_loop()
         self._timer = loop.call_at(self.deadline_ns / 1e9, self.abort, AttemptStatus.TIMEOUT)
 
+    def may_begin(self) -> bool:
+        """Return whether its request may be written now; otherwise the attempt has ended.
+
+        The event loop may have been late, so that the client has closed, but that is not handled yet.
+        """
+        if self.status is None:
+            self.cancel_if_obsolete(self)
+        return self.status is None
+
     def finish(self, status: AttemptStatus, response: http1.Response | None = None) -> None:
         """Set the status and call `on_finished`. Only the first call has an effect."""
         if self.status is None:
--- a/anisespool/upstream/cluster.py
+++ b/anisespool/upstream/cluster.py
@@ -136,6 +136,8 @@
         if pool is None or not pool.accepts_requests:  # drained or removed after the decision
             attempt.finish(AttemptStatus.MOOT)
             return
+        if not attempt.may_begin():
+            return
         if connection := pool.take_idle():
             connection.start(attempt)
             return
@@ -174,7 +176,7 @@
             # The connection was lost before it carried the attempt, so `connection_lost` could not end it.
             connection.abort()
             attempt.finish(AttemptStatus.CONNECT_FAILED)
-        elif attempt.status is not None:
+        elif not attempt.may_begin():
             pool.release(connection)  # the attempt ended meanwhile, and others can use the connection
         else:
             connection.start(attempt)
--- a/tests/listener/test_client_disconnect.py
+++ b/tests/listener/test_client_disconnect.py
@@ -23,6 +23,8 @@
     BlockedEndpoint,
     client_that_reads_nothing,
     idle_connection,
+    pause_reading,
+    resume_reading,
     unfinished_work,
 )
 from tests.support import SECOND
@@ -96,9 +98,11 @@
         sock.close()
 
 
+@pytest.mark.parametrize("is_read", [True, False], ids=["close read", "close unread"])
 async def test_a_request_is_not_forwarded_if_its_client_disconnects_during_connect(
-    tmp_path: Path, servers: list[Server], monkeypatch: pytest.MonkeyPatch
+    tmp_path: Path, servers: list[Server], monkeypatch: pytest.MonkeyPatch, is_read: bool
 ) -> None:
+    """Report 3b0b3a: a close that has arrived counts, even if it lies unread behind the request."""
     loop = asyncio.get_running_loop()
     may_complete = asyncio.Event()
     connect = loop.sock_connect
@@ -114,9 +118,17 @@
             patch.setattr(loop, "sock_connect", connect_when_allowed)
             writer.write(request_bytes("once", "t0", 60_000))
             await wait_until(lambda: servers[0].proxy.cluster.connecting_count == 1)
+        if not is_read:
+            pause_reading(servers[0])
         writer.close()
-        await wait_until(lambda: not servers[0].proxy.open_request_count)
+        if is_read:
+            await wait_until(lambda: not servers[0].proxy.open_request_count)
+        else:
+            await wait_until(lambda: servers[0].connections[0].has_unread_input)
         may_complete.set()
+        await wait_until(lambda: not servers[0].proxy.open_request_count)
+        for connection in servers[0].connections:
+            resume_reading(connection)
         await wait_until(lambda: not unfinished_work(servers[0]))
         assert (await send_request(sidecar.address, request_bytes("look", "t1"))).status == 200
         assert [r.headers[b"x-trace-id"] for r in endpoint.requests] == [b"t1"]
--- a/tests/proxy/harness.py
+++ b/tests/proxy/harness.py
@@ -63,7 +63,7 @@
 
     def start_request(self, request_class: int = 2, timeout_ns: int = SECOND) -> int:
         call = Call(GET, request_class, 0, timeout_ns, None, 0, False)
-        return self.proxy.start_request(call, self.responses.append)
+        return self.proxy.start_request(call, self.responses.append, lambda: False)
 
     def apply_action(self, action: api.Action) -> None:
         """Make the balancer return this action now, in response to an endpoint list without a change."""
--- a/tests/proxy/test_request_lifecycle.py
+++ b/tests/proxy/test_request_lifecycle.py
@@ -139,7 +139,9 @@
             def read_endpoint(response: FinalResponse) -> None:
                 received.append(read_to_end(accepted.result()))  # before the event loop's next turn
 
-            harness.proxy.start_request(Call(LONG_POST, 2, 0, SECOND, None, 0, False), read_endpoint)
+            harness.proxy.start_request(
+                Call(LONG_POST, 2, 0, SECOND, None, 0, False), read_endpoint, lambda: False
+            )
             connection = await accepted
             await wait_until(lambda: unread_bytes(connection) > 0)
             harness.proxy.set_shutdown_deadline(0)
--- a/tests/upstream/harness.py
+++ b/tests/upstream/harness.py
@@ -35,7 +35,7 @@
 
     def send(self, request: Request = GET, timeout_ns: int = 2 * SECOND, endpoint: int = 1) -> Attempt:
         deadline_ns = monotonic_ns() + timeout_ns
-        attempt = Attempt(1, 0, endpoint, request, deadline_ns, self.finished.append)
+        attempt = Attempt(1, 0, endpoint, request, deadline_ns, self.finished.append, lambda attempt: None)
         self.cluster.send(attempt)
         return attempt
 
