Begin no attempt whose time-out is past, though it is not handled yet

In one turn of a late event loop the completed connect of an attempt is handled before its time-out, and its request was written when its client had given up, telling the endpoint 1 ms. Attempt.may_begin now compares the clock too; the attempt ends as it does by its timer.

--- a/anisespool/upstream/attempt.py
+++ b/anisespool/upstream/attempt.py
@@ -71,10 +71,13 @@
     def may_begin(self) -> bool:
         """Return whether its request may be written now; otherwise the attempt has ended.
 
-        The event loop may have been late, so that the client has closed, but that is not handled yet.
+        The event loop may have been late, so that the close of the client and the attempt's own time-out are
+        past, but not handled yet.
         """
         if self.status is None:
             self.cancel_if_obsolete(self)
+        if self.status is None and time.monotonic_ns() >= self.deadline_ns:
+            self.abort(AttemptStatus.TIMEOUT)
         return self.status is None
 
     def finish(self, status: AttemptStatus, response: http1.Response | None = None) -> None:
--- a/tests/upstream/test_connection_timing.py
+++ b/tests/upstream/test_connection_timing.py
@@ -55,6 +55,22 @@
         assert not pool.active
 
 
+@pytest.mark.parametrize("has_idle_connection", [True, False])
+async def test_an_attempt_whose_time_out_is_past_but_not_handled_is_not_begun(
+    has_idle_connection: bool,
+) -> None:
+    """A late event loop established the connection and handled that before the attempt's time-out."""
+    async with Endpoint().serve() as endpoint:
+        harness = ClusterHarness(endpoint.address)
+        if has_idle_connection:
+            await harness.send_and_wait()
+        attempt = harness.send(timeout_ns=-1)
+        await wait_until(lambda: attempt.status is not None)
+        assert attempt.status is AttemptStatus.CONNECT_FAILED
+        assert (await harness.send_and_wait()).status is AttemptStatus.OK
+        assert len(endpoint.requests) == 1 + has_idle_connection
+
+
 def fill_send_buffer(sock: socket.socket) -> None:
     """Send empty lines, which servers ignore (RFC 9112, section 2.2), until `send` raises BlockingIOError."""
     while True:
