Count a request's time from its arrival where the event loop was late

A sidecar that did not run for 0.4 s took the request for new: it answered 0.3 s after the client's time and told endpoints the whole time (1.989 s where 1.6 s were left; at most 0.15 s over is allowed).

Cause: a request was stamped with the time at which it was read.

Mend: while the listener's periodic check is overdue, and for a second after, the arrival of what is read is the kernel's (TCP_INFO, time since the last data; not earlier than the check before the delay). Where the kernel does not tell, or more than one request is read at once, the earliest possible time counts. On time nothing is asked: a delay of less than 0.14 s is not noticed, which the slack of 0.15 s allows.

--- a/anisespool/listener/connection.py
+++ b/anisespool/listener/connection.py
@@ -9,6 +9,7 @@
 from http import HTTPStatus
 from typing import NamedTuple
 
+from anisespool import tcp
 from anisespool.codec import http1
 from anisespool.listener import timeouts
 from anisespool.listener.close_reason import CloseReason
@@ -116,9 +117,10 @@
             self._discard_input()
             return
         now_ns = time.monotonic_ns()
-        received_ns = self._arrival.input_read(now_ns) if self._arrival else now_ns
         begins_request = not self._parser.partial
-        for request in self._parser.feed(data):
+        requests = self._parser.feed(data)
+        received_ns = self._received_at(now_ns, len(requests) == 1 and not self._parser.partial)
+        for request in requests:
             self._pipelined.append(PipelinedRequest(request, received_ns))
             self._pipelined_body_bytes += len(request.body)
         if begins_request and not self._has_open_request:
@@ -134,6 +136,24 @@
             self._arrival.read_finished(is_empty=not self.has_unread_input)
         self._start_requests()
 
+    def _received_at(self, now_ns: int, is_last: bool) -> int:
+        """Return the time when the input arrived that is read now, or the earliest possible one.
+
+        Args:
+            now_ns: The current time, monotonic.
+            is_last: Whether nothing else follows the request, so that it ends with the last input.
+        """
+        read_at = self._arrival.input_read(now_ns) if self._arrival else now_ns
+        loop_delay = self._listener.loop_delay
+        earliest_at = loop_delay.earliest_at(now_ns)
+        if earliest_at == now_ns or not self._transport:
+            return read_at
+        arrived_at = earliest_at if loop_delay.is_overdue(now_ns) else now_ns
+        if is_last:
+            waited_ns = tcp.ns_since_last_input(self._transport.get_extra_info("socket"))
+            arrived_at = arrived_at if waited_ns is None else now_ns - waited_ns
+        return min(read_at, max(earliest_at, arrived_at))
+
     def eof_received(self) -> None:
         """Cancel the client's requests.
 
--- a/anisespool/listener/listener_context.py
+++ b/anisespool/listener/listener_context.py
@@ -11,6 +11,7 @@
 from anisespool.balancer import Settings
 from anisespool.codec import http1
 from anisespool.config.platform import NameIndex
+from anisespool.loop_delay import LoopDelay
 from anisespool.proxy.call import FinalResponse
 from anisespool.proxy.proxy import Proxy
 
@@ -29,6 +30,7 @@
         idle_timeout_s: Idle time after which a connection that has sent a request is closed.
         open_trace_ids: Trace ids of the open requests.
         on_reject: Called with each response that the listener itself produces; None if not needed.
+        loop_delay: The delay of the event loop.
     """
 
     proxy: Proxy
@@ -38,3 +40,4 @@
     idle_timeout_s: float
     open_trace_ids: set[bytes]
     on_reject: RejectionCallback | None
+    loop_delay: LoopDelay
--- a/anisespool/tcp.py
+++ b/anisespool/tcp.py
@@ -1,4 +1,4 @@
-"""Options of a TCP socket that asyncio does not offer (socket(7), tcp(7)): its close and acknowledgements.
+"""Options of a TCP socket that asyncio does not offer (socket(7), tcp(7)): close, acknowledgements, arrivals.
 
 By default the kernel takes what was written and delivers it after `close`, even after the process has ended.
 With SO_LINGER and a time of 0, `close` discards what is undelivered and resets the connection. The kernel
@@ -12,10 +12,21 @@
 import struct
 import termios
 from array import array
+from typing import Protocol
 
 # struct linger: whether it is on, and its time in seconds.
 _LINGER_ZERO_SECONDS = struct.pack("ii", 1, 0)
 _LINGER_OFF = struct.pack("ii", 0, 0)
+# struct tcp_info (linux/tcp.h): tcpi_state is its first byte, tcpi_last_data_recv a 32-bit number of ms.
+_LAST_DATA_RECEIVED = struct.Struct("B51xI")
+_NS_PER_MS = 1_000_000
+
+
+class OptionReader(Protocol):
+    """A socket, or asyncio's wrapper of one."""
+
+    def getsockopt(self, level: int, option: int, size: int, /) -> bytes:
+        """Return the value of an option that has at most `size` bytes."""
 
 
 def discard_undelivered_on_close(sock: socket.socket) -> None:
@@ -49,3 +60,18 @@
     Until then a peer without TCP_NODELAY holds back its next small write (Nagle's algorithm, RFC 9293 3.7.4).
     """
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, 1)
+
+
+def ns_since_last_input(sock: OptionReader) -> int | None:
+    """Return how long ago the kernel received the last data on a socket, in ns; None if it can't tell.
+
+    The resolution is that of the kernel's timer, 1 to 10 ms.
+    """
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _LAST_DATA_RECEIVED.size)
+    except OSError:
+        return None
+    if len(info) < _LAST_DATA_RECEIVED.size:
+        return None
+    state, milliseconds = _LAST_DATA_RECEIVED.unpack(info)
+    return milliseconds * _NS_PER_MS if state else None
--- a/tests/test_dependencies.py
+++ b/tests/test_dependencies.py
@@ -25,7 +25,7 @@
     "discovery": COMMON_PACKAGES | {"backoff"},
     "upstream": COMMON_PACKAGES | {"tcp"},
     "proxy": COMMON_PACKAGES | {"upstream", "discovery"},
-    "listener": COMMON_PACKAGES | {"loop_delay", "proxy"},
+    "listener": COMMON_PACKAGES | {"loop_delay", "proxy", "tcp"},
     "records": COMMON_PACKAGES | {"backoff", "proxy", "tcp", "upstream"},
     "control": COMMON_PACKAGES | {"proxy", "discovery"},
     "membership": COMMON_PACKAGES,
