Begin no attempt after a delay of the event loop before the endpoint list has caught up

Cause: the watch's reader is a task that wakes up a turn of the event loop after its input is read, while a request is forwarded in the callback that reads it.

Mend: after a delay a gate in front of the cluster holds attempts back for three turns and until discovery's socket is empty, at most 0.1 s. On time it costs one look at the clock for an attempt.

Traced: a stopped process that continues returns from its wait for events without one (EINTR, time-out over), so that the periodic check ran before any input was read and the delay was not seen. The check of a late loop counts as run three turns later.

--- a/anisespool/discovery/update_stream.py
+++ b/anisespool/discovery/update_stream.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
@@ -44,6 +45,12 @@
         # Received bytes that have not been parsed as JSON yet.
         self._body = bytearray()
         self._documents = JsonStreamParser(MAX_DOCUMENT_BYTES)
+        self._poll: select.poll | None = None  # set while connected
+
+    @property
+    def has_unread_input(self) -> bool:
+        """Whether the kernel holds received bytes that have not been read."""
+        return bool(self._poll and self._poll.poll(0))
 
     async def run(self) -> None:
         """Receive updates until the response ends or is an error, or `apply_updates` returns false.
@@ -57,10 +64,13 @@
         async with asyncio.timeout(self._timing.connect_timeout_s) as deadline:
             reader, writer = await asyncio.open_connection(*self._address)
             deadline.reschedule(loop.time() + self._timing.response_timeout_s)
+            self._poll = select.poll()
+            self._poll.register(writer.get_extra_info("socket").fileno(), select.POLLIN)
             try:
                 writer.write(self._encode_request())
                 await self._read_updates(reader, deadline)
             finally:
+                self._poll = None
                 writer.transport.abort()
 
     def _encode_request(self) -> bytes:
--- a/anisespool/discovery/watch.py
+++ b/anisespool/discovery/watch.py
@@ -50,8 +50,13 @@
         self._timing = timing
         self._backoff = Backoff(timeouts.INITIAL_BACKOFF_S, timing.max_backoff_s, Random())
         self._attempt: asyncio.Task[None] | None = None
+        self._stream: UpdateStream | None = None
         self._repeat_limit = RepeatLimit()
 
+    def has_unread_updates(self) -> bool:
+        """Return whether discovery has sent more than was read."""
+        return bool(self._stream and self._stream.has_unread_input)
+
     def change_address(self, address: Address) -> None:
         """Switch to another address, without waiting for the old attempt or its backoff to end.
 
@@ -85,7 +90,8 @@
         failure = ""
         try:
             revision = self._progress.revision
-            await UpdateStream(self._address, revision, self._timing, self._apply_updates).run()
+            self._stream = UpdateStream(self._address, revision, self._timing, self._apply_updates)
+            await self._stream.run()
         except (OSError, TimeoutError, JsonStreamError) as error:
             if isinstance(error, JsonStreamError):
                 self._progress.record_invalid_stream(str(error))
--- a/anisespool/listener/connection.py
+++ b/anisespool/listener/connection.py
@@ -145,7 +145,7 @@
         """
         read_at = self._arrival.input_read(now_ns) if self._arrival else now_ns
         loop_delay = self._listener.loop_delay
-        earliest_at = loop_delay.earliest_at(now_ns)
+        earliest_at = loop_delay.earliest_input_at(now_ns)
         if earliest_at == now_ns or not self._transport:
             return read_at
         arrived_at = earliest_at if loop_delay.is_overdue(now_ns) else now_ns
--- a/anisespool/listener/server.py
+++ b/anisespool/listener/server.py
@@ -21,6 +21,7 @@
 BACKLOG_CONNECTIONS = 512  # limit on connections that wait in the kernel, which drops further ones
 MAX_ACCEPTED_CONNECTIONS = 8  # limit for each iteration of the event loop
 ACCEPT_RETRY_S = 0.05  # delay before accepting again after an error such as a lack of descriptors
+TURNS_TO_READ = 3  # turns of the event loop after which it has read what arrived before the first one
 SWEEP_INTERVAL_S = CHECK_INTERVAL_NS / 1e9
 
 
@@ -109,16 +110,25 @@
         """
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
+            await self._check_delay()
             now_s = time.monotonic()
-            self._check_delay(time.monotonic_ns())
             self.table.close_silent(now_s)
             for connection in self.table.inactive:
                 connection.apply_timeouts(now_s)
             for connection in list(self.table.paused):
                 connection.check_paused()
 
-    def _check_delay(self, now_ns: int) -> None:
-        delay_ns = self.loop_delay.check_ran(now_ns)
+    async def _check_delay(self) -> None:
+        """Check how late the event loop is.
+
+        In the first turn of a late loop timers may run before any input is read: a process that continues
+        after a stop returns from its wait for events without one (EINTR). Therefore the check counts as run
+        only some turns later.
+        """
+        if self.loop_delay.is_overdue(time.monotonic_ns()):
+            for _ in range(TURNS_TO_READ):
+                await asyncio.sleep(0)
+        delay_ns = self.loop_delay.check_ran(time.monotonic_ns())
         if delay_ns and (count := self._delay_limit.count_to_log("")):
             open_requests = len(self.table.active)
             log_event("event_loop_delayed", delay_ms=delay_ns // 1_000_000, open=open_requests, count=count)
--- a/anisespool/loop_delay.py
+++ b/anisespool/loop_delay.py
@@ -40,10 +40,22 @@
         """Return whether the check is overdue, so that whatever happens now may have waited."""
         return now - self._checked_at > CHECK_INTERVAL_NS + MIN_DELAY_NS
 
-    def earliest_at(self, now: int) -> int:
-        """Return the earliest time at which what is handled now may have happened: `now` without a delay."""
-        if self.is_overdue(now):
+    def earliest_event_at(self, handled_at: int) -> int:
+        """Return the earliest time at which something may have happened that was handled at `handled_at`.
+
+        It is `handled_at` itself unless the loop was delayed then.
+        """
+        if self.is_overdue(handled_at):
             return self._checked_at
-        if self._delayed_since and now - self._delayed_until < BACKLOG_NS:
+        if self._delayed_since < handled_at <= self._delayed_until:
             return self._delayed_since
-        return now
+        return handled_at
+
+    def earliest_input_at(self, now: int) -> int:
+        """Return the earliest time at which input may have arrived that is read now.
+
+        After a delay, connections that waited meanwhile are accepted a few in each turn of the event loop.
+        """
+        if self._delayed_until < now < self._delayed_until + BACKLOG_NS:
+            return self.earliest_event_at(self._delayed_until)
+        return self.earliest_event_at(now)
--- a/anisespool/sidecar/composition.py
+++ b/anisespool/sidecar/composition.py
@@ -11,6 +11,7 @@
 
 from anisespool.balancer.interface import DiscoveryMode, EndpointListKind
 from anisespool.config.platform import Address, PlatformConfig, PlatformConfigError
+from anisespool.discovery.catch_up import ListCatchUp
 from anisespool.discovery.timeouts import watch_timing
 from anisespool.discovery.watch import EndpointWatch
 from anisespool.listener.server import Server
@@ -93,11 +94,13 @@
         settings = config.settings
         connections = max(MIN_CONNECTIONS, config.max_sockets - RESERVED_CONNECTIONS)
         client_connections = int(connections * CLIENT_CONNECTION_SHARE)
+        self.loop_delay = LoopDelay(time.monotonic_ns())
         self.cluster = Cluster(
             settings.load_report_columns,
             settings.connect_timeout_ns,
             config.keepalive_ns,
             connections - client_connections,
+            gate=ListCatchUp(self.loop_delay, lambda: self.watch.has_unread_updates()),
         )
         self.features = _optional_features(config, operator_config, self.cluster)
         recorder = self.features.recorder if self.features else None
@@ -110,9 +113,8 @@
             proxy.update_endpoints,
             watch_timing(settings),
         )
-        loop_delay = LoopDelay(time.monotonic_ns())
         self.server = Server(
-            proxy, config.names, settings, client_connections, config.max_sockets, loop_delay
+            proxy, config.names, settings, client_connections, config.max_sockets, self.loop_delay
         )
         self.server.on_reject = recorder.record_rejection if recorder else None
         self.controls = SidecarControls(signals, proxy, self.server, self.watch, config.discovery, recorder)
--- a/anisespool/upstream/cluster.py
+++ b/anisespool/upstream/cluster.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import time
-from typing import NamedTuple
+from collections.abc import Coroutine
+from typing import Any, NamedTuple
 
 from anisespool.balancer.interface import AttemptStatus
 from anisespool.config.platform import Address
@@ -13,6 +14,7 @@
 from anisespool.upstream.connection_settings import ConnectionSettings
 from anisespool.upstream.connector import open_connection
 from anisespool.upstream.pooled_connection import PooledConnection
+from anisespool.upstream.send_gate import AlwaysOpen, SendGate
 
 # Idle timeout, as a share of the endpoint's keep-alive time. It is below 1 because a request that is sent
 # while the endpoint closes the connection ends as a reset.
@@ -49,6 +51,7 @@
         keepalive_ns: int,
         max_connections: int,
         reuse_delay_s: float = REUSE_DELAY_S,
+        gate: SendGate | None = None,
     ) -> None:
         """Create a cluster without endpoints.
 
@@ -58,7 +61,9 @@
             keepalive_ns: How long an endpoint keeps an idle connection open.
             max_connections: Limit on open connections and connects in progress, over all endpoints.
             reuse_delay_s: See `ConnectionSettings`.
+            gate: Holds attempts back; None if nothing does.
         """
+        self._gate = gate or AlwaysOpen()
         self._default_connect_timeout_s = connect_timeout_ns / 1e9 or DEFAULT_CONNECT_TIMEOUT_S
         self._settings = ConnectionSettings(
             report_columns,
@@ -131,7 +136,23 @@
             pool.retire()
 
     def send(self, attempt: Attempt) -> None:
-        """Start an attempt. It may end before this method returns."""
+        """Start an attempt, or hold it back until the gate opens. It may end before this method returns."""
+        if self._gate.is_open():
+            self._start(attempt)
+        else:
+            self._create_task(self._start_when_open(attempt))
+
+    async def _start_when_open(self, attempt: Attempt) -> None:
+        await self._gate.wait_open()
+        if attempt.status is None:
+            self._start(attempt)
+
+    def _create_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _start(self, attempt: Attempt) -> None:
         pool = self._pools.get(attempt.endpoint)
         if pool is None or not pool.accepts_requests:  # drained or removed after the decision
             attempt.finish(AttemptStatus.MOOT)
@@ -146,9 +167,7 @@
             return
         self.connecting_count += 1
         pool.connecting.add(attempt)
-        task = asyncio.get_running_loop().create_task(self._connect_and_start(pool, attempt))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._create_task(self._connect_and_start(pool, attempt))
 
     def close_idle(self, number: int) -> None:
         """Close the idle connections to an endpoint."""
@@ -167,6 +186,7 @@
         """Open a connection and start the attempt on it, unless the attempt has ended meanwhile."""
         try:
             connection = await open_connection(pool, attempt.started_ns)
+            await self._gate.wait_open()
         finally:
             self.connecting_count -= 1
             pool.connecting.discard(attempt)
--- a/tests/proxy/test_request_log.py
+++ b/tests/proxy/test_request_log.py
@@ -56,7 +56,7 @@
     log = Log(capfd)
 
     async def hang(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await asyncio.Event().wait()
+        await reader.read()
 
     endpoint = Endpoint()
     async with endpoint.serve(), running_sidecar(tmp_path, endpoint) as sidecar:
--- a/tests/sidecar/test_held_up_process.py
+++ b/tests/sidecar/test_held_up_process.py
@@ -216,7 +216,7 @@
     """The end of the shutdown counted from the handling, so that SIGKILL found requests without an answer."""
 
     async def hang(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await asyncio.Event().wait()
+        await reader.read()
 
     async with Endpoint(hang).serve() as endpoint, program(tmp_path, listen, endpoint) as sidecar:
         reader, writer = await asyncio.open_connection(*sidecar.address)
--- a/tests/test_decisions_page.py
+++ b/tests/test_decisions_page.py
@@ -19,10 +19,12 @@
 PAGE = (ROOT / "docs/decisions.md").read_text()
 # Modules of rules outside of the decision module.
 RULE_MODULES = (
+    "discovery/catch_up.py",
     "listener/eviction.py",
     "listener/keepalive.py",
     "listener/shutdown.py",
     "listener/timeouts.py",
+    "loop_delay.py",
     "proxy/deadlines.py",
     "sidecar/shutdown.py",
     "upstream/cluster.py",
--- a/tests/test_dependencies.py
+++ b/tests/test_dependencies.py
@@ -22,7 +22,7 @@
     "balancer": {"log"},
     "config": {"balancer", "log"},
     "codec": set(),
-    "discovery": COMMON_PACKAGES | {"backoff"},
+    "discovery": COMMON_PACKAGES | {"backoff", "loop_delay"},
     "upstream": COMMON_PACKAGES | {"tcp"},
     "proxy": COMMON_PACKAGES | {"upstream", "discovery"},
     "listener": COMMON_PACKAGES | {"loop_delay", "proxy", "tcp"},
--- a/tests/test_loop_delay.py
+++ b/tests/test_loop_delay.py
@@ -16,13 +16,13 @@
     now: int, earliest_at: int
 ) -> None:
     loop_delay = LoopDelay(START)
-    assert loop_delay.earliest_at(now) == earliest_at
+    assert loop_delay.earliest_input_at(now) == earliest_at
 
 
 def test_a_check_on_time_reports_no_delay() -> None:
     loop_delay = LoopDelay(START)
     assert loop_delay.check_ran(ON_TIME) == 0
-    assert loop_delay.earliest_at(ON_TIME + MS) == ON_TIME + MS
+    assert loop_delay.earliest_input_at(ON_TIME + MS) == ON_TIME + MS
 
 
 def test_a_delay_is_remembered_until_its_backlog_has_been_read() -> None:
@@ -31,8 +31,17 @@
     resumed = START + SECOND
     assert loop_delay.check_ran(resumed) == SECOND - CHECK_INTERVAL_NS
     assert not loop_delay.is_overdue(resumed + MS)
-    assert loop_delay.earliest_at(resumed + MS) == START
+    assert loop_delay.earliest_input_at(resumed + MS) == START
     for checks in range(1, 1 + BACKLOG_NS // CHECK_INTERVAL_NS):
         assert loop_delay.check_ran(resumed + checks * CHECK_INTERVAL_NS) == 0
     later = resumed + BACKLOG_NS
-    assert loop_delay.earliest_at(later) == later
+    assert loop_delay.earliest_input_at(later) == later
+
+
+def test_an_event_handled_before_the_check_of_a_late_loop_may_have_happened_since_the_one_before() -> None:
+    loop_delay = LoopDelay(START)
+    handled = START + SECOND
+    assert loop_delay.earliest_event_at(handled) == START
+    loop_delay.check_ran(handled + MS)
+    assert loop_delay.earliest_event_at(handled) == START
+    assert loop_delay.earliest_event_at(handled + 2 * MS) == handled + 2 * MS
