Count the end of a shutdown from when SIGTERM may have been sent, not from when it was handled

If the event loop was late then, the end of the shutdown is shortened by the time since its last check before; the time for new connections stays.

--- a/anisespool/sidecar/composition.py
+++ b/anisespool/sidecar/composition.py
@@ -59,7 +59,7 @@
         await signals.stop.wait()
         if components.features:
             tasks += components.features.announce_shutdown()
-        await stop_listener(components.server, config.settings)
+        await stop_listener(components.server, config.settings, _stop_pending_s(components, signals))
     finally:
         for task in tasks:
             task.cancel()
@@ -67,6 +67,13 @@
             await components.features.close()
 
 
+def _stop_pending_s(components: _Components, signals: Signals) -> float:
+    """Return how long ago the platform may have sent the signal that stops the sidecar."""
+    now = time.monotonic_ns()
+    sent_at = components.loop_delay.earliest_event_at(signals.stop_handled_at or now)
+    return (now - sent_at) / 1e9
+
+
 async def _start_listening(
     components: _Components,
     config: PlatformConfig,
--- a/anisespool/sidecar/shutdown.py
+++ b/anisespool/sidecar/shutdown.py
@@ -22,9 +22,15 @@
     return min(longest_deadline_s, MAX_SIGKILL_DEADLINE_S) + SIGKILL_MARGIN_S
 
 
-async def stop_listener(server: Server, settings: Settings) -> None:
+async def stop_listener(server: Server, settings: Settings, pending_s: float) -> None:
     """Accept connections until clients have noticed the shutdown, then close the listener.
 
     Returns once all requests have their responses, at the latest EXIT_RESERVE_S before SIGKILL.
+
+    Args:
+        server: The listener.
+        settings: The platform's settings.
+        pending_s: How long ago SIGTERM was sent, in seconds. The platform counts from there.
     """
-    await shut_down(server, ACCEPT_AFTER_SIGTERM_S, sigkill_after_s(settings) - EXIT_RESERVE_S)
+    timeout_s = sigkill_after_s(settings) - EXIT_RESERVE_S - pending_s
+    await shut_down(server, ACCEPT_AFTER_SIGTERM_S, max(0.0, timeout_s))
