Begin no keyed retry outside of its window, however late the event loop is

While its connection came up the event loop was late by 1 s, and the retry was written 0.2 s after the window's end: the request ran twice. The margin of the decision covers the connect timeout and a clock step, not a delay.

The proxy compares the window again just before the attempt is written (Exchange.retries_end_at); the attempt then ends as not sent, and the balancer answers by its own rule.

--- a/anisespool/proxy/exchange.py
+++ b/anisespool/proxy/exchange.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from anisespool.balancer.interface import RequestClass
+from anisespool.balancer.interface import Idempotency, RequestClass
 from anisespool.balancer.retry.idempotency import may_client_retry
 from anisespool.proxy.call import Call, FinalResponse
 from anisespool.upstream.attempt import Attempt
@@ -66,6 +67,17 @@
         """Whether no response is due any more and every attempt has its status."""
         return self.send_response is None and all(attempt.status is not None for attempt in self.attempts)
 
+    def retries_end_at(self, request_class: RequestClass) -> float:
+        """Return the time after which no further attempt may begin, because it could execute twice.
+
+        Endpoints discard a repeated idempotency key for a limited time, counted from the first attempt that
+        may have executed.
+        """
+        if request_class.idempotency is not Idempotency.WITH_KEY:
+            return math.inf
+        executed = (attempt.started_ns for attempt in self.attempts if attempt.may_have_executed)
+        return min(executed, default=math.inf) + request_class.dedup_window_ns
+
     def backstop_response(self, request_class: RequestClass) -> FinalResponse:
         """Return the response to send if the balancer has not decided in time.
 
--- a/anisespool/proxy/proxy.py
+++ b/anisespool/proxy/proxy.py
@@ -121,12 +121,17 @@
             exchange.close()
             self._abandon(request_id, exchange)
 
-    def _cancel_if_client_has_left(self, attempt: Attempt) -> None:
-        """Cancel the request of an attempt that would begin now, if its client has disconnected."""
+    def _end_if_obsolete(self, attempt: Attempt) -> None:
+        """End an attempt that would begin now, if what allowed it does not hold any more."""
         exchange = self._exchanges.get(attempt.request_id)
-        if exchange and exchange.send_response and exchange.client_has_left():
-            self._request_log.not_begun(attempt, exchange)
+        if not exchange or not exchange.send_response:
+            return
+        if exchange.client_has_left():
+            self._request_log.not_begun(attempt, exchange, "client_left")
             self.client_disconnected(attempt.request_id)
+        elif time.monotonic_ns() > exchange.retries_end_at(self._classes[exchange.call.request_class]):
+            self._request_log.not_begun(attempt, exchange, "window_over")
+            attempt.finish(AttemptStatus.MOOT)
 
     def set_shutdown_deadline(self, deadline_at: int) -> None:
         """Respond to all requests before this deadline, however long their clients would wait.
@@ -205,7 +210,7 @@
             exchange.call.request,
             deadline_ns,
             self._attempt_finished,
-            self._cancel_if_client_has_left,
+            self._end_if_obsolete,
         )
         if exchange.attempts:
             self._request_log.retried(attempt, exchange)
--- a/anisespool/proxy/request_log.py
+++ b/anisespool/proxy/request_log.py
@@ -52,14 +52,15 @@
                 count=count,
             )
 
-    def not_begun(self, attempt: Attempt, exchange: Exchange) -> None:
-        """Log that an attempt does not begin, because the client has left."""
-        if count := self._not_begun.count_to_log(""):
+    def not_begun(self, attempt: Attempt, exchange: Exchange, reason: str) -> None:
+        """Log that an attempt that was decided on does not begin."""
+        if count := self._not_begun.count_to_log(reason):
             log_event(
                 "attempt_not_begun",
                 request=attempt.request_id,
                 trace_id=_trace_id(exchange),
                 number=attempt.endpoint,
+                reason=reason,
                 count=count,
             )
 
--- a/anisespool/upstream/attempt.py
+++ b/anisespool/upstream/attempt.py
@@ -39,8 +39,9 @@
 class Attempt:
     """One attempt, from the balancer's decision to send it until its final status.
 
-    `on_finished` is called exactly once, with the attempt, when `status` is set. `cancel_if_obsolete` is
-    called with the attempt before it begins, and cancels it if its client has left. Times are monotonic ns.
+    `on_finished` is called exactly once, with the attempt, when `status` is set. `end_if_obsolete` is
+    called with the attempt before it begins, and ends it if its request may not be sent any more. Times are
+    monotonic ns.
     """
 
     request_id: int
@@ -51,7 +52,7 @@
     request: http1.Request
     deadline_ns: int
     on_finished: Callable[[Attempt], None]
-    cancel_if_obsolete: Callable[[Attempt], None]
+    end_if_obsolete: Callable[[Attempt], None]
     status: AttemptStatus | None = None
     response: http1.Response | None = None
     load: tuple[float, ...] = ()
@@ -75,7 +76,7 @@
         past, but not handled yet.
         """
         if self.status is None:
-            self.cancel_if_obsolete(self)
+            self.end_if_obsolete(self)
         if self.status is None and time.monotonic_ns() >= self.deadline_ns:
             self.abort(AttemptStatus.TIMEOUT)
         return self.status is None
