Soak real sidecars under drawn faults, judged by what clients and endpoints saw

A run has two sidecars as processes, six endpoints and 7 s of traffic with hold-ups by SIGSTOP up to 0.45 s, drains published during them, clients that leave (close, half-close, reset) or give up, short deadlines, SIGHUP, SIGTERM with SIGKILL at the platform's earliest while clients go on sending, endpoints that reject, fail, reset, hang or go down, watches that are reset, keyed and once classes, and in a quarter of the runs a crowd of idle connections. Judged: lost (no or late answer, foreign answer, closed after it was forwarded, attempt 0.1 s after the client left), time told, executed twice, sent to draining endpoints. Not judged: overload of warming endpoints.

--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,247 @@
+"""Plays one run: sidecars as processes of their own, their clients, endpoints and discovery in this one."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+import time
+from contextlib import AsyncExitStack, suppress
+from dataclasses import dataclass
+from pathlib import Path
+
+from anisespool.config.platform import Address
+from anisespool.fakes import platform
+from anisespool.fakes.discovery import DiscoveryService
+from anisespool.fakes.server import Connection, reset
+from tests.harness.client import wait_until_health
+from tests.soak import plan as plans
+from tests.soak.clients import SoakClient
+from tests.soak.endpoint import SoakEndpoint
+from tests.soak.judge import judge
+from tests.soak.plan import Fault, Plan
+from tests.soak.records import DrainNotice, RunRecord
+
+STALL_CHECK_S = 0.01
+MAX_STALL_S = 0.03  # a longer delay of the run's own event loop makes it void
+CROWD_PAUSE_S = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class RunResult:
+    """The verdict on one run."""
+
+    seed: int
+    violations: list[str]
+    requests: int
+    answered: int
+    served: int
+    is_void: bool
+    """Whether the run's own event loop was late, so that a violation proves nothing."""
+    crashes: list[str]
+
+    @property
+    def is_broken(self) -> bool:
+        """Whether a rule was broken, or a sidecar crashed."""
+        return bool(self.violations or self.crashes)
+
+
+@dataclass(slots=True)
+class Sidecar:
+    """One sidecar and its discovery service."""
+
+    number: int
+    address: Address
+    env: dict[str, str]
+    discovery: DiscoveryService
+    log_path: Path
+    process: asyncio.subprocess.Process | None = None
+    is_restarting: bool = False
+
+    async def start(self) -> None:
+        """Start the process, and wait until it is ready."""
+        with self.log_path.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "anisespool", env=os.environ | self.env, stderr=log
+            )
+        while True:
+            with suppress(OSError, EOFError):
+                await wait_until_health(self.address, 200)
+                return
+            await asyncio.sleep(0.01)
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal, unless the process has ended."""
+        if self.process and self.process.returncode is None:
+            with suppress(ProcessLookupError):
+                self.process.send_signal(number)
+
+
+class Run:
+    """One run."""
+
+    def __init__(self, plan: Plan, folder: Path) -> None:
+        self._plan = plan
+        self._folder = folder
+        self._record = RunRecord()
+        self._endpoints = [
+            SoakEndpoint(number, self._record, plan.endpoint_fault_share, plan.seed)
+            for number in range(plans.ENDPOINTS)
+        ]
+        self._sidecars: list[Sidecar] = []
+        self._draining: set[int] = set()
+        self._crashes: list[str] = []
+
+    async def play(self) -> RunResult:
+        """Play the run, and judge it."""
+        async with AsyncExitStack() as stack:
+            for endpoint in self._endpoints:
+                await stack.enter_async_context(endpoint.serve())
+            for number in range(plans.SIDECARS):
+                await self._prepare_sidecar(number, stack)
+            stack.callback(self._kill_all)
+            await asyncio.gather(*(sidecar.start() for sidecar in self._sidecars))
+            await self._play_started()
+        requests = self._record.requests
+        return RunResult(
+            seed=self._plan.seed,
+            violations=judge(self._record),
+            requests=len(requests),
+            answered=sum(bool(request.status) for request in requests),
+            served=sum(request.status == 200 for request in requests),
+            is_void=bool(self._record.stalls_s),
+            crashes=self._crashes,
+        )
+
+    async def _prepare_sidecar(self, number: int, stack: AsyncExitStack) -> None:
+        members = [self._member(endpoint) for endpoint in range(plans.ENDPOINTS)]
+        discovery = await stack.enter_async_context(DiscoveryService(members).serve())
+        reserved = stack.enter_context(platform.reserve_port())
+        listen = "{}:{}".format(*reserved.getsockname())
+        folder = self._folder / f"sidecar-{number}"
+        folder.mkdir()
+        env = platform.write_config(
+            folder,
+            discovery.address,
+            members,
+            self._plan.settings | {"self-index": number},
+            listen,
+            f"n{number}",
+            self._plan.sockets,
+        )
+        sidecar = Sidecar(number, Address.parse(listen), env, discovery, folder / "log")
+        self._sidecars.append(sidecar)
+
+    def _member(self, endpoint: int, phase: str = "up") -> dict[str, object]:
+        return platform.member(f"s-{endpoint}", self._endpoints[endpoint].address, phase)
+
+    async def _play_started(self) -> None:
+        start_s = time.monotonic()
+        watching = asyncio.create_task(self._watch_stalls())
+        crowds = [asyncio.create_task(self._crowd(sidecar)) for sidecar in self._sidecars]
+        classes = self._plan.settings["request-classes"]
+        clients = [
+            SoakClient(sidecar.number, sidecar.address, classes, self._record, self._plan.seed)
+            for sidecar in self._sidecars
+        ]
+        until_s = start_s + plans.RUN_S
+        faults = [asyncio.create_task(self._inject(fault, start_s)) for fault in self._plan.faults]
+        await asyncio.gather(*(client.run(self._plan.rate_per_s, until_s) for client in clients), *faults)
+        for task in (watching, *crowds):
+            task.cancel()
+        for sidecar in self._sidecars:
+            if sidecar.process and sidecar.process.returncode is not None:
+                self._crashes.append(f"sidecar {sidecar.number}: {sidecar.process.returncode}")
+
+    def _kill_all(self) -> None:
+        for sidecar in self._sidecars:
+            sidecar.send_signal(signal.SIGKILL)
+
+    async def _watch_stalls(self) -> None:
+        while True:
+            due_s = time.monotonic() + STALL_CHECK_S
+            await asyncio.sleep(STALL_CHECK_S)
+            if time.monotonic() - due_s > MAX_STALL_S:
+                self._record.stalls_s.append(time.monotonic())
+
+    async def _crowd(self, sidecar: Sidecar) -> None:
+        """Keep idle connections open, which fill the sidecar's descriptors."""
+        writers: list[asyncio.StreamWriter] = []
+        while True:
+            writers = [writer for writer in writers if not writer.is_closing()]
+            while len(writers) < self._plan.crowd:
+                try:
+                    _, writer = await asyncio.open_connection(*sidecar.address)
+                except OSError:
+                    break
+                writers.append(writer)
+            await asyncio.sleep(CROWD_PAUSE_S)
+
+    async def _inject(self, fault: Fault, start_s: float) -> None:
+        await asyncio.sleep(max(0.0, start_s + fault.at_s - time.monotonic()))
+        await getattr(self, f"_{fault.kind.value}")(fault)
+
+    async def _hold_up(self, fault: Fault) -> None:
+        sidecar = self._sidecars[fault.target]
+        if sidecar.is_restarting:  # a hold-up until SIGKILL leaves no time for an answer
+            return
+        sidecar.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(fault.for_s)
+        sidecar.send_signal(signal.SIGCONT)
+
+    async def _drain(self, fault: Fault) -> None:
+        endpoint = fault.target
+        if endpoint in self._draining or len(self._draining) >= plans.ENDPOINTS // 2:
+            return
+        self._draining.add(endpoint)
+        self._record.drains.append(self._publish(endpoint, "draining"))
+        await asyncio.sleep(fault.for_s)
+        self._record.drain_ends.append(self._publish(endpoint, "up"))
+        self._draining.discard(endpoint)
+
+    def _publish(self, endpoint: int, phase: str) -> DrainNotice:
+        """Send a change to all watches, and note which sidecars have one."""
+        watching = frozenset(sidecar.number for sidecar in self._sidecars if _open_watches(sidecar))
+        at_s = time.monotonic()
+        for sidecar in self._sidecars:
+            sidecar.discovery.publish(self._member(endpoint, phase))
+        return DrainNotice(endpoint, at_s, watching)
+
+    async def _restart(self, fault: Fault) -> None:
+        sidecar = self._sidecars[fault.target]
+        if not sidecar.process:
+            return
+        sidecar.is_restarting = True
+        sidecar.send_signal(signal.SIGTERM)
+        with suppress(TimeoutError):
+            await asyncio.wait_for(sidecar.process.wait(), self._plan.sigkill_after_s)
+        sidecar.send_signal(signal.SIGKILL)
+        status = await sidecar.process.wait()
+        if status not in (0, -signal.SIGKILL):
+            self._crashes.append(f"sidecar {sidecar.number}: {status} after SIGTERM")
+        await sidecar.start()
+        sidecar.is_restarting = False
+
+    async def _reload(self, fault: Fault) -> None:
+        self._sidecars[fault.target % plans.SIDECARS].send_signal(signal.SIGHUP)
+
+    async def _endpoint_down(self, fault: Fault) -> None:
+        endpoint = self._endpoints[fault.target]
+        endpoint.go_down()
+        await asyncio.sleep(fault.for_s)
+        endpoint.is_down = False
+
+    async def _endpoint_hangs(self, fault: Fault) -> None:
+        endpoint = self._endpoints[fault.target]
+        endpoint.hangs = True
+        await asyncio.sleep(fault.for_s)
+        endpoint.hangs = False
+
+    async def _watch_reset(self, fault: Fault) -> None:
+        for connection in _open_watches(self._sidecars[fault.target % plans.SIDECARS]):
+            reset(connection.writer)
+
+
+def _open_watches(sidecar: Sidecar) -> list[Connection]:
+    return [watch for watch in sidecar.discovery.connections if not watch.writer.is_closing()]
