Keep the rule on the arrival of late input in one place, and close what the soak opens

LoopDelay.input_arrived_at is pure and has its own cases; the connection only asks the kernel. The tests of a held-up process share their set-up. The soak closes its crowd and half-closed connections (warnings at the loop's end).

--- a/anisespool/listener/connection.py
+++ b/anisespool/listener/connection.py
@@ -148,11 +148,9 @@
         earliest_at = loop_delay.earliest_input_at(now_ns)
         if earliest_at == now_ns or not self._transport:
             return read_at
-        arrived_at = earliest_at if loop_delay.is_overdue(now_ns) else now_ns
-        if is_last:
-            waited_ns = tcp.ns_since_last_input(self._transport.get_extra_info("socket"))
-            arrived_at = arrived_at if waited_ns is None else now_ns - waited_ns
-        return min(read_at, max(earliest_at, arrived_at))
+        sock = self._transport.get_extra_info("socket")
+        waited_ns = tcp.ns_since_last_input(sock) if is_last else None
+        return min(read_at, loop_delay.input_arrived_at(now_ns, waited_ns))
 
     def eof_received(self) -> None:
         """Cancel the client's requests.
--- a/anisespool/loop_delay.py
+++ b/anisespool/loop_delay.py
@@ -59,3 +59,15 @@
         if self._delayed_until < now < self._delayed_until + BACKLOG_NS:
             return self.earliest_event_at(self._delayed_until)
         return self.earliest_event_at(now)
+
+    def input_arrived_at(self, now: int, waited_ns: int | None) -> int:
+        """Return when input arrived that is read now, or the earliest possible time.
+
+        Args:
+            now: The current time.
+            waited_ns: For how long it lay unread, as the kernel tells it; None if it does not.
+        """
+        earliest_at = self.earliest_input_at(now)
+        if waited_ns is not None:
+            return max(earliest_at, now - waited_ns)
+        return earliest_at if self.is_overdue(now) else now
--- a/tests/sidecar/test_held_up_process.py
+++ b/tests/sidecar/test_held_up_process.py
@@ -84,6 +84,17 @@
     await asyncio.sleep(2 * REUSE_DELAY_S)
 
 
+@asynccontextmanager
+async def held_up_client(
+    sidecar: Program, endpoint: Endpoint, is_accepted: bool
+) -> AsyncIterator[tuple[asyncio.StreamReader, asyncio.StreamWriter]]:
+    """Stop the sidecar until the block ends, and return a connection that was accepted before or is not."""
+    await warm_up(sidecar, endpoint)
+    accepted = await connect(sidecar, is_accepted=True)
+    async with stopped(sidecar.process):
+        yield accepted if is_accepted else await connect(sidecar, is_accepted=False)
+
+
 def trace_ids(endpoint: Endpoint) -> list[str]:
     return [request.headers[b"x-trace-id"].decode() for request in endpoint.requests]
 
@@ -103,10 +114,7 @@
 ) -> None:
     """Report 3b0b3a: requests were forwarded 0.3 s after their clients had left, which counts as lost."""
     async with Endpoint().serve() as endpoint, program(tmp_path, listen, endpoint) as sidecar:
-        await warm_up(sidecar, endpoint)
-        open_connection = await connect(sidecar, is_accepted=True)
-        async with stopped(sidecar.process):
-            _, writer = open_connection if is_accepted else await connect(sidecar, is_accepted=False)
+        async with held_up_client(sidecar, endpoint, is_accepted) as (_, writer):
             writer.write(request_bytes("look", "left"))
             await asyncio.sleep(HELD_UP_S / 4)
             disconnect(writer)
@@ -153,10 +161,7 @@
 ) -> None:
     """A request's time counts from its arrival: after it, the client has left or will not read the answer."""
     async with Endpoint().serve() as endpoint, program(tmp_path, listen, endpoint) as sidecar:
-        await warm_up(sidecar, endpoint)
-        open_connection = await connect(sidecar, is_accepted=True)
-        async with stopped(sidecar.process):
-            reader, writer = open_connection if is_accepted else await connect(sidecar, is_accepted=False)
+        async with held_up_client(sidecar, endpoint, is_accepted) as (reader, writer):
             writer.write(request_bytes("look", "expired", left_ms=int(HELD_UP_S * 250)))
             await asyncio.sleep(HELD_UP_S)
         assert (await read_response(reader)).status == 503
@@ -170,10 +175,7 @@
 ) -> None:
     """The time that a request lay unread was told to endpoints as if its client still had it."""
     async with Endpoint().serve() as endpoint, program(tmp_path, listen, endpoint) as sidecar:
-        await warm_up(sidecar, endpoint)
-        open_connection = await connect(sidecar, is_accepted=True)
-        async with stopped(sidecar.process):
-            reader, writer = open_connection if is_accepted else await connect(sidecar, is_accepted=False)
+        async with held_up_client(sidecar, endpoint, is_accepted) as (reader, writer):
             writer.write(request_bytes("once", "late", left_ms=int(REQUEST_S * 1000)))
             sent_s = time.monotonic()
             await asyncio.sleep(HELD_UP_S)
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -45,6 +45,7 @@
         self._record = record
         self._draws = random.Random(seed * 1000 + 500 + sidecar)
         self._idle: list[Connection] = []
+        self._half_closed: list[Connection] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._count = 0
 
@@ -59,8 +60,8 @@
             due_s += self._draws.expovariate(rate_per_s)
         while self._tasks:
             await asyncio.wait(self._tasks)
-        for connection in self._idle:
-            connection.writer.close()
+        for connection in self._idle + self._half_closed:
+            connection.writer.transport.abort()
 
     async def _perform(self) -> None:
         """Send a request, and again as far as a client may retry it."""
@@ -118,7 +119,7 @@
         disconnect = self._draws.choice(DISCONNECTS)
         with suppress(OSError):
             disconnect(connection.writer)
-        asyncio.get_running_loop().call_later(1.0, connection.writer.close)
+        self._half_closed.append(connection)
 
     def _keep(self, connection: Connection, response: http1.Response) -> None:
         if response.keep_alive:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -150,6 +150,7 @@
         await asyncio.gather(*(client.run(self._plan.rate_per_s, until_s) for client in clients), *faults)
         for task in (watching, *crowds):
             task.cancel()
+        await asyncio.gather(watching, *crowds, return_exceptions=True)
         for sidecar in self._sidecars:
             if sidecar.process and sidecar.process.returncode is not None:
                 self._crashes.append(f"sidecar {sidecar.number}: {sidecar.process.returncode}")
@@ -168,15 +169,17 @@
     async def _crowd(self, sidecar: Sidecar) -> None:
         """Keep idle connections open, which fill the sidecar's descriptors."""
         writers: list[asyncio.StreamWriter] = []
-        while True:
-            writers = [writer for writer in writers if not writer.is_closing()]
-            while len(writers) < self._plan.crowd:
-                try:
-                    _, writer = await asyncio.open_connection(*sidecar.address)
-                except OSError:
-                    break
-                writers.append(writer)
-            await asyncio.sleep(CROWD_PAUSE_S)
+        try:
+            while True:
+                writers = [writer for writer in writers if not writer.is_closing()]
+                with suppress(OSError):
+                    while len(writers) < self._plan.crowd:
+                        _, writer = await asyncio.open_connection(*sidecar.address)
+                        writers.append(writer)
+                await asyncio.sleep(CROWD_PAUSE_S)
+        finally:
+            for writer in writers:
+                writer.transport.abort()
 
     async def _inject(self, fault: Fault, start_s: float) -> None:
         await asyncio.sleep(max(0.0, start_s + fault.at_s - time.monotonic()))
--- a/tests/test_loop_delay.py
+++ b/tests/test_loop_delay.py
@@ -45,3 +45,14 @@
     loop_delay.check_ran(handled + MS)
     assert loop_delay.earliest_event_at(handled) == START
     assert loop_delay.earliest_event_at(handled + 2 * MS) == handled + 2 * MS
+
+
+@pytest.mark.parametrize(
+    ("waited_ns", "arrived_at"),
+    [(MS, START + SECOND - MS), (2 * SECOND, START), (None, START)],
+    ids=["known", "before the delay", "unknown"],
+)
+def test_late_input_counts_from_its_arrival_or_from_the_beginning_of_the_delay(
+    waited_ns: int | None, arrived_at: int
+) -> None:
+    assert LoopDelay(START).input_arrived_at(START + SECOND, waited_ns) == arrived_at
