--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -23,10 +23,12 @@
 
     HOLD_UP = "hold_up"
     """Stops a sidecar for a while."""
+    STARVE = "starve"
+    """Lets a sidecar run for a quarter of the time only, in turns of some milliseconds."""
     DRAIN = "drain"
     """Drains an endpoint, and makes it ready again after a while."""
     RESTART = "restart"
-    """Sends SIGTERM to a sidecar, SIGKILL as early as the platform may, and starts it again."""
+    """Sends SIGTERM and more signals to a sidecar, SIGKILL as early as may be, and starts it again."""
     RELOAD = "reload"
     """Sends SIGHUP to a sidecar."""
     ENDPOINT_DOWN = "endpoint_down"
@@ -120,6 +122,9 @@
         ]
     if draws.random() < 0.6:
         faults.append(Fault(draws.uniform(0.5, 2.5), 0.0, FaultKind.RESTART, draws.randrange(SIDECARS)))
+    if draws.random() < 0.4:
+        at_s, for_s = draws.uniform(0.5, RUN_S - 2), draws.uniform(0.3, 1.0)
+        faults.append(Fault(at_s, for_s, FaultKind.STARVE, draws.randrange(SIDECARS)))
     return faults
 
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -8,7 +8,7 @@
 import sys
 import time
 from contextlib import AsyncExitStack, suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 from anisespool.config.platform import Address
@@ -26,6 +26,10 @@
 STALL_CHECK_S = 0.01
 MAX_STALL_S = 0.03  # a longer delay of the run's own event loop makes it void
 CROWD_PAUSE_S = 0.2
+STARVED_S = 0.03
+RUNNING_S = 0.01
+SHUTDOWN_SIGNALS = (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM)
+SIGNAL_PAUSE_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -193,6 +197,12 @@
         await asyncio.sleep(fault.for_s)
         sidecar.send_signal(signal.SIGCONT)
 
+    async def _starve(self, fault: Fault) -> None:
+        end_s = time.monotonic() + fault.for_s
+        while time.monotonic() < end_s:
+            await self._hold_up(replace(fault, for_s=STARVED_S))
+            await asyncio.sleep(RUNNING_S)
+
     async def _drain(self, fault: Fault) -> None:
         endpoint = fault.target
         if endpoint in self._draining or len(self._draining) >= plans.ENDPOINTS // 2:
@@ -216,9 +226,13 @@
         if not sidecar.process:
             return
         sidecar.is_restarting = True
-        sidecar.send_signal(signal.SIGTERM)
+        sigkill_at_s = asyncio.get_running_loop().time() + self._plan.sigkill_after_s
+        for number in SHUTDOWN_SIGNALS:
+            sidecar.send_signal(number)
+            await asyncio.sleep(SIGNAL_PAUSE_S)
         with suppress(TimeoutError):
-            await asyncio.wait_for(sidecar.process.wait(), self._plan.sigkill_after_s)
+            async with asyncio.timeout_at(sigkill_at_s):
+                await sidecar.process.wait()
         sidecar.send_signal(signal.SIGKILL)
         status = await sidecar.process.wait()
         if status not in (0, -signal.SIGKILL):
