--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -5,12 +5,18 @@
 import argparse
 import json
 import multiprocessing
+import signal
 import sys
 from dataclasses import asdict
 
 from tests.soak.play import play
 
 
+def exit_on_sigterm() -> None:
+    """Let a run that is broken off end its sidecars, whose discovery ports others would be given."""
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(1))
+
+
 def main() -> int:
     """Play the runs, print one JSON object a line, and return 1 if a rule was broken or a sidecar crashed."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -19,7 +25,7 @@
     arguments = parser.parse_args()
     first, _, last = arguments.seeds.partition("-")
     broken = 0
-    with multiprocessing.get_context("spawn").Pool(arguments.jobs) as pool:
+    with multiprocessing.get_context("spawn").Pool(arguments.jobs, exit_on_sigterm) as pool:
         for result in pool.imap(play, range(int(first), int(last or first) + 1)):
             broken += result.is_broken
             print(json.dumps(asdict(result)), flush=True)
