--- a/anisespool/listener/connection.py
+++ b/anisespool/listener/connection.py
@@ -55,7 +55,6 @@
         self._listener = listener
         self._table = table
         self._transport: asyncio.Transport | None = None
-        self._close_poll: select.poll | None = None  # set by the first attempt; one for each costs CPU time
         self._parser = http1.RequestParser(http1.MAX_REQUEST_BODY_BYTES)
         # Plain attributes, because a class for the pipeline would cost two more calls for each request.
         self._pipelined: deque[PipelinedRequest] = deque()
@@ -264,10 +263,7 @@
         """Whether the client has ended its output, which may lie unread behind its requests."""
         if self._closing or not self._transport or self._transport.is_closing():
             return True
-        if self._close_poll is None:
-            self._close_poll = select.poll()
-            self._close_poll.register(self._transport.get_extra_info("socket").fileno(), PEER_CLOSED_EVENTS)
-        return bool(self._close_poll.poll(0))
+        return poll_now(self._transport, PEER_CLOSED_EVENTS)
 
     def _reserve_trace_id(self, trace_id: bytes) -> None:
         """Reserve the trace id for as long as the request is open.
--- a/anisespool/proxy/proxy.py
+++ b/anisespool/proxy/proxy.py
@@ -129,13 +129,10 @@
         if exchange.client_has_left():
             self._request_log.not_begun(attempt, exchange, "client_left")
             self.client_disconnected(attempt.request_id)
-        elif attempt.number and time.monotonic_ns() > self._retries_end_at(exchange):
+        elif time.monotonic_ns() > exchange.retries_end_at(self._classes[exchange.call.request_class]):
             self._request_log.not_begun(attempt, exchange, "window_over")
             attempt.finish(AttemptStatus.MOOT)
 
-    def _retries_end_at(self, exchange: Exchange) -> float:
-        return exchange.retries_end_at(self._classes[exchange.call.request_class])
-
     def set_shutdown_deadline(self, deadline_at: int) -> None:
         """Respond to all requests before this deadline, however long their clients would wait.
 
