Let the mutation that sends what was given up pass the new checks before an attempt begins

Traced: the mutated sidecar delays attempts by 0.3 s and clears the status of those that were given up meanwhile; the check before an attempt begins (Attempt.may_begin) and the gate after a delay of the event loop ended them all the same, so that the mutation did nothing.

--- a/anisespool/lab/live/mutated_sidecar.py
+++ b/anisespool/lab/live/mutated_sidecar.py
@@ -97,17 +97,19 @@
 
 def send_cancelled_attempts() -> None:
     """Delay attempts, and send them even if they were cancelled meanwhile."""
-    original = Cluster.send
+    start = Cluster._start  # behind the gate, which would hold back and drop what was given up
 
     def send_late(self: Cluster, attempt: Attempt) -> None:
         if attempt.status is not None:
             attempt.status = None
-        original(self, attempt)
+        start(self, attempt)
 
     def send(self: Cluster, attempt: Attempt) -> None:
         asyncio.get_running_loop().call_later(SEND_DELAY_S, send_late, self, attempt)
 
     _patch(Cluster, "send", send)
+    # Otherwise the check before an attempt begins would end those that were given up.
+    _patch(Attempt, "may_begin", lambda attempt: attempt.status is None)
 
 
 class _ResponseCounter:
