Log start, limits, memory near its limit and every request that the listener rejects

sidecar_listening tells the limits, memory_high the resident memory above three quarters of memory_mb (looked at ten times a second), request_rejected each 4xx, 408 and 503 of the listener itself with its reason and id, once a second and reason. limits.memory_mb of LB_CONFIG is read for it (192 without one).

--- a/anisespool/config/platform/platform_config.py
+++ b/anisespool/config/platform/platform_config.py
@@ -22,6 +22,7 @@
         discovery: Address of the discovery service.
         seed: Seed of the balancer's random choices.
         max_sockets: Maximum number of open file descriptors of the sidecar.
+        max_memory_bytes: Resident memory above which the platform kills the sidecar.
         keepalive_ns: Time in ns for which an endpoint keeps an idle connection open.
         settings: Settings of the balancer.
         names: Indexes of the names in the settings, and the clock offset for endpoint lists.
@@ -34,6 +35,7 @@
     discovery: Address
     seed: int
     max_sockets: int
+    max_memory_bytes: int
     keepalive_ns: int
     settings: Settings
     names: NameIndex
--- a/anisespool/config/platform_loader.py
+++ b/anisespool/config/platform_loader.py
@@ -21,6 +21,8 @@
 from anisespool.log import log_event
 
 DEFAULT_MAX_SOCKETS = 1024
+DEFAULT_MEMORY_MB = 192
+BYTES_PER_MB = 1_000_000
 DEFAULT_KEEPALIVE_NS = 15_000_000_000
 EMPTY_ENDPOINT_LIST = EndpointList(revision=0, complete=True, endpoints=())
 
@@ -43,6 +45,7 @@
         discovery=_address(environment, "LB_DISCOVERY"),
         seed=file.convert("seed", _parse_seed),
         max_sockets=file.positive_number("limits", "sockets", DEFAULT_MAX_SOCKETS),
+        max_memory_bytes=BYTES_PER_MB * file.positive_number("limits", "memory_mb", DEFAULT_MEMORY_MB),
         keepalive_ns=raw_settings.positive_number("allowed", "keepalive-ns", DEFAULT_KEEPALIVE_NS),
         settings=settings,
         names=names,
--- a/anisespool/listener/connection.py
+++ b/anisespool/listener/connection.py
@@ -336,7 +336,10 @@
             self._transport.write_eof()
 
     def _report_rejection(self, response: FinalResponse, request: http1.Request | None) -> None:
-        """Pass a response that the listener itself produced to `on_reject`, if it is set."""
+        """Log a response that the listener itself produced, and pass it to `on_reject`, if it is set."""
+        reason = response.body.decode().strip() or HTTPStatus(response.status).phrase
+        trace_id = request.headers.get(b"x-trace-id", b"") if request else b""
+        self._table.log_rejection(response.status, reason, trace_id)
         if self._listener.on_reject:
             self._listener.on_reject(response, request)
 
--- a/anisespool/listener/connection_table.py
+++ b/anisespool/listener/connection_table.py
@@ -38,6 +38,7 @@
         self.paused: set[TrackedConnection] = set()
         self.active: set[TrackedConnection] = set()
         self._close_limit = EventLimit()
+        self._rejection_limit = EventLimit()
         self._new: dict[TrackedConnection, None] = {}
         self._idle: dict[TrackedConnection, None] = {}
 
@@ -132,6 +133,24 @@
         for connection in self.connections:
             connection.close_if_idle(reason)
 
+    def log_rejection(self, status: int, reason: str, trace_id: bytes) -> None:
+        """Log that the listener itself answers a request with an error, and closes its connection.
+
+        Args:
+            status: Status of the response.
+            reason: One of a small set of texts.
+            trace_id: The request's id; empty if it has none that is known.
+        """
+        if count := self._rejection_limit.count_to_log(f"{status} {reason}"):
+            log_event(
+                "request_rejected",
+                status=status,
+                reason=reason,
+                trace_id=trace_id.decode("latin-1"),
+                connections=len(self),
+                count=count,
+            )
+
     def log_close(self, reason: CloseReason) -> None:
         """Log that the listener closes a connection."""
         if count := self._close_limit.count_to_log(reason):
--- a/anisespool/listener/server.py
+++ b/anisespool/listener/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import time
+from collections.abc import Callable
 
 from anisespool.balancer import Settings
 from anisespool.config.platform import Address, NameIndex
@@ -48,6 +49,7 @@
         max_connections: int,
         descriptors: int,
         loop_delay: LoopDelay,
+        on_sweep: Callable[[int], None],
     ) -> None:
         """Create a listener without a socket.
 
@@ -58,6 +60,7 @@
             max_connections: Limit on the number of client connections.
             descriptors: Limit on the number of descriptors of the whole process.
             loop_delay: The delay of the event loop.
+            on_sweep: Called by each sweep with the number of open connections.
         """
         self.proxy = proxy
         self.names = names
@@ -68,6 +71,7 @@
         self.open_trace_ids: set[bytes] = set()
         self.on_reject: RejectionCallback | None = None
         self.loop_delay = loop_delay
+        self._on_sweep = on_sweep
         self._delay_limit = EventLimit()
         self._listening_socket: socket.socket | None = None
         self._accept_tasks: set[asyncio.Task[None]] = set()
@@ -111,6 +115,7 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             await self._check_delay()
+            self._on_sweep(len(self.table))
             now_s = time.monotonic()
             self.table.close_silent(now_s)
             for connection in self.table.inactive:
--- a/anisespool/sidecar/composition.py
+++ b/anisespool/sidecar/composition.py
@@ -15,9 +15,11 @@
 from anisespool.discovery.timeouts import watch_timing
 from anisespool.discovery.watch import EndpointWatch
 from anisespool.listener.server import Server
+from anisespool.log import log_event
 from anisespool.loop_delay import LoopDelay
 from anisespool.proxy.proxy import Proxy
 from anisespool.sidecar.live_controls import SidecarControls
+from anisespool.sidecar.memory_monitor import BYTES_PER_MB, MemoryMonitor
 from anisespool.sidecar.process_signals import Signals
 from anisespool.sidecar.reload import reload_when_signalled
 from anisespool.sidecar.shutdown import stop_listener
@@ -87,7 +89,15 @@
         tasks += components.features.start(components.controls)
     await _wait_for_current_list(components.watch, config)
     with _listen_errors():
-        on_listening(components.server.listen())
+        address = components.server.listen()
+    log_event(
+        "sidecar_listening",
+        address="{}:{}".format(*address),
+        sockets=config.max_sockets,
+        memory_mb=config.max_memory_bytes // BYTES_PER_MB,
+        client_connections=components.server.table.max_connections,
+    )
+    on_listening(address)
     gc.freeze()  # Objects created at start-up are never freed, so collections skip them.
     gc.set_threshold(*GC_THRESHOLDS)
 
@@ -121,7 +131,13 @@
             watch_timing(settings),
         )
         self.server = Server(
-            proxy, config.names, settings, client_connections, config.max_sockets, self.loop_delay
+            proxy,
+            config.names,
+            settings,
+            client_connections,
+            config.max_sockets,
+            self.loop_delay,
+            MemoryMonitor(config.max_memory_bytes).check,
         )
         self.server.on_reject = recorder.record_rejection if recorder else None
         self.controls = SidecarControls(signals, proxy, self.server, self.watch, config.discovery, recorder)
--- a/tests/listener/test_bad_clients.py
+++ b/tests/listener/test_bad_clients.py
@@ -72,7 +72,11 @@
         reply = await read_to_close(sidecar.address, data)  # the sidecar also closes the connection
         assert re.findall(rb"HTTP/1.1 (\d)", reply) == [b"4"]
         assert not endpoint.requests
-    assert "Traceback" not in capfd.readouterr().err
+    log = capfd.readouterr().err
+    assert "Traceback" not in log
+    assert re.search(
+        r"^request_rejected status=4\d\d reason=.* connections=1 count=1 at_s=", log, re.MULTILINE
+    )
 
 
 async def test_the_trace_id_of_an_open_request_is_rejected_until_that_request_ends(tmp_path: Path) -> None:
