--- a/anisespool/fakes/discovery.py
+++ b/anisespool/fakes/discovery.py
@@ -131,7 +131,11 @@
 
     async def handle_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Send the head of the response to one watch; `send` adds lines."""
-        request = await http1.read_request(reader)
+        try:
+            request = await http1.read_request(reader)
+        except (OSError, EOFError):  # closed without a request
+            writer.close()
+            return
         self.targets.append(request.target)
         writer.write(STREAM_HEAD)
         self.connections.append(Connection(reader, writer))
--- a/anisespool/fakes/platform.py
+++ b/anisespool/fakes/platform.py
@@ -131,6 +131,7 @@
     listen: str = "127.0.0.1:0",
     name: str = "n0",
     sockets: int = 256,
+    memory_mb: int = 192,
 ) -> dict[str, str]:
     """Write the configuration file, and return the environment that names it.
 
@@ -142,12 +143,13 @@
         listen: Address on which the sidecar listens.
         name: Name of the sidecar.
         sockets: Number of file descriptors that the platform allows.
+        memory_mb: Resident memory that the platform allows.
     """
     discovery_address = f"{discovery.host}:{discovery.port}"
     raw = {
         "name": name,
         "seed": "8c1f",
-        "limits": {"sockets": sockets},
+        "limits": {"sockets": sockets, "memory_mb": memory_mb},
         "known": member_list(1, initial_members),
         "settings": settings,
         "discovery": discovery_address,
--- a/tests/harness/platform_config.py
+++ b/tests/harness/platform_config.py
@@ -31,6 +31,7 @@
     known: list[dict[str, Any]],
     listen: str = "127.0.0.1:0",
     sockets: int = 256,
+    memory_mb: int = 192,
     **changes: Any,
 ) -> dict[str, str]:
     """Write the configuration file, and return the environment that names it.
@@ -41,7 +42,10 @@
         known: The initial endpoint list.
         listen: The sidecar's listen address.
         sockets: Maximum number of file descriptors.
+        memory_mb: Maximum resident memory.
         changes: Changes of the settings, as in `raw_settings`.
     """
     settings = platform_settings(**changes)
-    return platform.write_config(folder, discovery, known, settings, listen=listen, sockets=sockets)
+    return platform.write_config(
+        folder, discovery, known, settings, listen=listen, sockets=sockets, memory_mb=memory_mb
+    )
