Bound the memory and the time that the input of clients takes, whatever they send

Callers saw resets, then 503 and answers after their time.

Cause: a read was handled whole and kept whole. 256 KiB were read, parsed into thousands of requests and answered in one callback; each connection had limits, all together had none (595 connections of 144 KB and more); responses that a client did not read piled up; requests whose time had passed in line still went through the balancer and counted as load.

Now BufferBudget limits what all connections hold, a third of memory_mb beyond 40 MB: partial requests whose clients have sent nothing for longest are given up, then unread responses; a large request is refused if that does not suffice; small ones pass. InputScheduler handles short input at once and the rest in steps, 4 ms a turn, and long requests are read on in their turn only. Reading does not stop behind many requests any more: what does not fit is counted and rejected.

--- a/anisespool/codec/http1/request_parser.py
+++ b/anisespool/codec/http1/request_parser.py
@@ -49,10 +49,16 @@
         """Number of bytes of the partial request in memory, besides a fixed amount."""
         return self._message.stored_bytes
 
+    def fail(self, status: int) -> None:
+        """Drop the partial request, and let `status` be the response to it. Parsing stops."""
+        self.error_status = self.error_status or status
+        self.close()
+
     def close(self) -> None:
         """Release the partial request, and the httptools parser, which forms a reference cycle with this."""
         self._parser = None
         self._message = MessageBuffer(self._max_body_bytes)
+        self._message_begun = False
 
     def feed(self, data: bytes | memoryview) -> list[Request]:
         """Parse received bytes and return the requests they complete, including those before an error."""
--- a/anisespool/listener/connection.py
+++ b/anisespool/listener/connection.py
@@ -3,22 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-import select
 import time
-from collections import deque
 from http import HTTPStatus
-from typing import NamedTuple
 
-from anisespool import tcp
+from anisespool.buffer_budget import SMALL_BYTES, BufferHolder
 from anisespool.codec import http1
 from anisespool.listener import timeouts
 from anisespool.listener.close_reason import CloseReason
 from anisespool.listener.connection_table import ConnectionTable
-from anisespool.listener.input_arrival import InputArrival
 from anisespool.listener.keepalive import ReuseHistory
 from anisespool.listener.listener_context import ListenerContext
+from anisespool.listener.reading import Reading
+from anisespool.listener.received_input import ReceivedInput
 from anisespool.listener.request import (
-    REQUEST_HEADERS,
+    HEALTH_CHECK_PATH,
     DuplicateTraceId,
     InvalidRequest,
     validate_request,
@@ -27,20 +25,17 @@
 from anisespool.listener.transport import PEER_CLOSED_EVENTS, encode_final_response, poll_now
 from anisespool.proxy.call import FinalResponse
 
-MAX_PIPELINED_REQUESTS = 64  # requests read ahead on one connection
-MAX_PIPELINED_BODY_BYTES = http1.MAX_BODY_BYTES  # limit on their total size; hundreds of clients may pipeline
 MIN_QUEUE_WAIT_NS = 1_000_000  # a shorter wait in the pipeline is not subtracted from the client's timeout
-DISCARD_PAUSE_S = 0.004  # pause between two reads of discarded input
+TIGHT_READ_BYTES = 16 * 1024  # limit on a read while connections hold much in memory
+MAX_STARTED_REQUESTS = 16  # limit on the requests that are started in one step
+MAX_UNSENT_BYTES = http1.MAX_RESPONSE_BODY_BYTES  # no request is started while more output is unsent
+OVERLOADED_RESPONSE = FinalResponse(503, b"too many connections\n")
+OUT_OF_MEMORY_RESPONSE = FinalResponse(503, b"out of memory\n")
+NOT_KEPT_RESPONSE = FinalResponse(503, b"too much input\n")
+NO_TIME_RESPONSE = FinalResponse(503, b"no time left\n")
 
 
-class PipelinedRequest(NamedTuple):
-    """A request that waits for earlier requests on its connection."""
-
-    request: http1.Request
-    received_ns: int
-
-
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """A client connection with one open request at a time.
 
     Input is read even while a request is open, because a client cancels by ending its output.
@@ -60,14 +55,15 @@
         self._listener = listener
         self._table = table
         self._transport: asyncio.Transport | None = None
-        self._parser = http1.RequestParser(http1.MAX_REQUEST_BODY_BYTES, REQUEST_HEADERS)
-        # Plain attributes, because a class for the pipeline would cost two more calls for each request.
-        self._pipelined: deque[PipelinedRequest] = deque()
-        self._pipelined_body_bytes = 0
-        self._arrival: InputArrival | None = None  # set by the first pause of reading
+        self._reading: Reading | None = None
+        self._input = ReceivedInput(listener.budget)
+        self._held = BufferHolder(listener.budget)  # besides the input
+        self._is_submitted = False  # to the input scheduler
+        self._is_waiting_to_read = False  # until the scheduler's next step
         self._idle_before_request_s = 0.0
         # State of the open request. Its id is 0 until the proxy's `start_request` has returned.
         self._has_open_request = False
+        self._open_request_bytes = 0
         self._request_id = 0
         self._trace_id = b""
         self._keep_alive = True
@@ -77,85 +73,79 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is open, pipelined or partly received, and the connection is not closing."""
-        return not (self._closing or self._has_open_request or self._pipelined or self._parser.partial)
+        return not (self._closing or self._has_open_request or self._input)
+
+    @property
+    def has_waiting_request(self) -> bool:
+        """Whether a complete request may have been read that has not been started."""
+        return bool(self._input.pipeline) or not self._input.is_parsed
 
     @property
     def has_pending_response(self) -> bool:
         """Whether a request waits for its response, or a response may not have been sent completely."""
-        return self._closing or self._has_open_request or bool(self._pipelined)
+        return self._closing or self._has_open_request or self.has_waiting_request
 
     @property
     def has_unread_input(self) -> bool:
         """Whether the kernel holds received bytes that have not been read."""
-        return poll_now(self._transport, select.POLLIN)
-
-    @property
-    def _has_more_input(self) -> bool:
-        """Whether the client has sent more input after the request that was just answered.
-
-        Closing now would reset the connection and lose the response just written. Once the listener has
-        closed, the client could not send the remaining requests anywhere else either.
-        """
-        return bool(self._pipelined) or self._parser.partial or self.has_unread_input
+        return bool(self._reading and self._reading.has_unread_input)
 
     @property
     def has_unsent_output(self) -> bool:
         """Whether part of a response is in the write buffer, because the client has not read enough."""
-        return bool(self._transport and self._transport.get_write_buffer_size())
+        return self._unsent_bytes > 0
+
+    @property
+    def _unsent_bytes(self) -> int:
+        return self._transport.get_write_buffer_size() if self._transport else 0
 
     @property
-    def _pipeline_full(self) -> bool:
-        return (
-            len(self._pipelined) > MAX_PIPELINED_REQUESTS
-            or self._pipelined_body_bytes > MAX_PIPELINED_BODY_BYTES
-        )
+    def _is_output_full(self) -> bool:
+        """Whether so much output is unsent that no further response may be added."""
+        return self._unsent_bytes > (0 if self._listener.budget.is_tight else MAX_UNSENT_BYTES)
+
+    # Events of the transport.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._reading = Reading(transport, self._listener.loop_delay)
+        transport.set_write_buffer_limits(high=0)  # so that `resume_writing` shows that all output is sent
         self._table.add(self)
 
-    def data_received(self, data: bytes) -> None:
-        """Parse input, and start the next request unless one is open."""
-        if self._closing or self._parser.error_status:
-            self._discard_input()
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read, which all connections share: it is emptied at once.
+
+        Where memory is short only a part of it is used.
+        """
+        buffer = self._listener.read_buffer
+        return buffer[:TIGHT_READ_BYTES] if self._listener.budget.is_tight else buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take the input that has been read."""
+        assert self._reading
+        if self._closing or self._input.error_status:
+            self._reading.discard()
             return
         now_ns = time.monotonic_ns()
-        begins_request = not self._parser.partial
-        requests = self._parser.feed(data)
-        received_ns = self._received_at(now_ns, len(requests) == 1 and not self._parser.partial)
-        for request in requests:
-            self._pipelined.append(PipelinedRequest(request, received_ns))
-            self._pipelined_body_bytes += len(request.body)
-        if begins_request and not self._has_open_request:
+        if not self._has_open_request and not self._input:
             now_s = now_ns / 1e9
             self._idle_before_request_s = now_s - self.inactive_since_s
             self.inactive_since_s = now_s
-        if self._parser.expects_continue and self._transport and not self._has_open_request:
-            self._parser.expects_continue = False
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        if self._pipeline_full:
-            self._pause_reading(now_ns)
-        elif self._arrival and self._arrival.is_behind:
-            self._arrival.read_finished(is_empty=not self.has_unread_input)
-        self._start_requests()
+        self._input.add(bytes(self._listener.read_buffer[:nbytes]), self._reading.read(now_ns))
+        self._submit()
 
-    def _received_at(self, now_ns: int, is_last: bool) -> int:
-        """Return the time when the input arrived that is read now, or the earliest possible one.
+    def pause_writing(self) -> None:
+        """Note that the client has not read all responses."""
+        self._table.unsent[self] = None
 
-        Args:
-            now_ns: The current time, monotonic.
-            is_last: Whether nothing else follows the request, so that it ends with the last input.
-        """
-        read_at = self._arrival.input_read(now_ns) if self._arrival else now_ns
-        loop_delay = self._listener.loop_delay
-        earliest_at = loop_delay.earliest_input_at(now_ns)
-        if earliest_at == now_ns or not self._transport:
-            return read_at
-        sock = self._transport.get_extra_info("socket")
-        waited_ns = tcp.ns_since_last_input(sock) if is_last else None
-        return min(read_at, loop_delay.input_arrived_at(now_ns, waited_ns))
+    def resume_writing(self) -> None:
+        """Continue with the next request, as all responses have been sent."""
+        self._table.unsent.pop(self, None)
+        self._update_held()
+        if not self._closing:
+            self._submit()
 
     def eof_received(self) -> None:
         """Cancel the client's requests.
@@ -172,83 +162,125 @@
         self._table.discard(self)
         if not self._closed_by_policy:
             self._table.keep_alive_policy.connection_closed(self.history)
-        self._parser.close()
+        self._held.hold(0)
 
-    def _pause_reading(self, now_ns: int) -> None:
-        """Read no more requests ahead."""
-        if not self._transport:
-            return
-        self._transport.pause_reading()
-        self._table.paused.add(self)
-        if self._arrival:
-            self._arrival.reading_paused(now_ns)
-        else:
-            self._arrival = InputArrival(now_ns)
+    # Input.
 
-    def _continue_reading(self) -> None:
-        """Read requests again if reading is paused."""
-        if self not in self._table.paused or not self._transport:
-            return
-        self._note_unread_input()
-        if self._arrival:
-            self._arrival.reading_resumed(time.monotonic_ns())
-        self._transport.resume_reading()
-        self._table.paused.discard(self)
+    def _submit(self) -> None:
+        """Have the input handled, unless that is scheduled already."""
+        if not self._is_submitted:
+            self._is_submitted = True
+            self._listener.scheduler.submit(self, self._input.is_short)
 
-    def _note_unread_input(self) -> None:
-        """Note during a pause of reading whether the client has sent more by now."""
-        if self._arrival and not self.has_unread_input:
-            self._arrival.input_empty(time.monotonic_ns())
+    def handle_input(self) -> bool:
+        """Parse some of the input and start some requests; return whether there is more to do."""
+        if not self._input.is_parsed:
+            self._parse()
+        self._start_requests()
+        has_more = not self._input.is_parsed or self._can_start
+        if not has_more:
+            self._is_waiting_to_read = has_more = self._must_wait_to_read()
+        self._is_submitted = has_more
+        self._update_reading()
+        return has_more
+
+    def _parse(self) -> None:
+        assert self._reading
+        self._input.parse(self._reading.arrival_of)
+        if self._input.take_expectation() and self._transport and not self._has_open_request:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._table.mark_receiving(self, self._input.partial_bytes)
+        if self._listener.budget.is_exceeded:
+            self._table.relieve(self._listener.budget)
 
-    def _discard_input(self) -> None:
-        """Throttle a client that keeps sending after an error; reading all its input would use up the CPU."""
-        if self._transport and not self._transport.is_closing():
-            self._transport.pause_reading()
-            asyncio.get_running_loop().call_later(DISCARD_PAUSE_S, self._resume_reading)
+    def _must_wait_to_read(self) -> bool:
+        """Whether a long request is read on only in a later step, as others have input to handle, too."""
+        if self._closing or self._is_waiting_to_read:
+            return False
+        return self._input.is_partial and self._listener.scheduler.is_busy
 
-    def _resume_reading(self) -> None:
-        if self._transport and not self._transport.is_closing():
-            self._transport.resume_reading()
+    def _update_reading(self) -> None:
+        """Read on, unless input is left to be parsed, or responses to be read by the client."""
+        if not self._reading:
+            return
+        has_work = not self._input.is_parsed or self._is_waiting_to_read or self._is_output_full
+        self._reading.update(may_read=self._closing or not has_work)
+        if self._reading.is_paused:
+            self._table.paused.add(self)
+        else:
+            self._table.paused.discard(self)
+
+    def _update_held(self) -> None:
+        """Report the memory that the open request and unsent output take; all together may be too much."""
+        self._held.hold(self._open_request_bytes + self._unsent_bytes)
+        if self._listener.budget.is_exceeded:
+            self._table.relieve(self._listener.budget)
+
+    def give_up_partial_request(self) -> None:
+        """Reject the request that is being received, after the responses to those before it."""
+        self._input.give_up_partial()
+        self._table.mark_receiving(self, 0)
+        self._submit()
 
     def _cancel(self) -> None:
         """Cancel the open request and discard the pipelined ones, because the client has disconnected."""
         self._closing = True
-        self._pipelined.clear()
+        self._input.clear()
         self._table.paused.discard(self)
         self._release_trace_id()
         if self._has_open_request and self._request_id:
             self._listener.proxy.client_disconnected(self._request_id)
-            self._has_open_request = False
+            self._end_request()
+        self._update_held()
+
+    # Requests and responses.
+
+    @property
+    def _can_start(self) -> bool:
+        """Whether the next request can be started now."""
+        if self._closing or self._has_open_request or self._is_output_full:
+            return False
+        if not self._input.pipeline:
+            return bool(self._input.error_status) and self._input.is_parsed
+        return True
 
     def _start_requests(self) -> None:
         """Start received requests in order, up to the first one without an immediate response."""
-        while not self._has_open_request and not self._closing:
-            if not self._pipelined:
-                if self._parser.error_status:
-                    self._reject(FinalResponse(self._parser.error_status))
+        for _ in range(MAX_STARTED_REQUESTS):
+            if not self._can_start:
                 return
-            request, received_ns = self._pipelined.popleft()
-            self._pipelined_body_bytes -= len(request.body)
-            if not self._pipeline_full:
-                self._continue_reading()
-            self._has_open_request = True
-            self._request_id = 0
-            self._keep_alive = request.keep_alive
-            self.has_sent_request = True
-            self._table.keep_alive_policy.request_received(self.history, self._idle_before_request_s)
-            self._table.mark_active(self)
-            self._start(request, received_ns)
+            if self._input.pipeline:
+                self._start_next()
+            else:
+                self._reject(_parser_error_response(self._input.error_status))
+
+    def _start_next(self) -> None:
+        """Take the next request from the pipeline, and respond to it or pass it to the proxy."""
+        is_out_of_memory = self._listener.budget.is_exceeded
+        pipelined = self._input.take_next()
+        self._has_open_request = True
+        self._request_id = 0
+        self._keep_alive = pipelined is None or pipelined.request.keep_alive
+        self.has_sent_request = True
+        self._table.keep_alive_policy.request_received(self.history, self._idle_before_request_s)
+        self._table.mark_active(self)
+        if pipelined is None:
+            self._refuse(NOT_KEPT_RESPONSE, None)
+        elif is_out_of_memory and pipelined.size_bytes > SMALL_BYTES:
+            self._refuse(OUT_OF_MEMORY_RESPONSE, pipelined.request)
+        else:
+            self._open_request_bytes = pipelined.size_bytes
+            self._update_held()
+            self._start(pipelined.request, pipelined.received_ns)
 
     def _start(self, request: http1.Request, received_ns: int) -> None:
         """Respond to a request directly, or pass it to the proxy."""
-        if request.target.partition(b"?")[0] == b"/healthz":
+        if request.target.partition(b"?")[0] == HEALTH_CHECK_PATH:
             self._respond(FinalResponse(200 if self._listener.proxy.ready else 503))
             return
         if self._table.overloaded:
             self._keep_alive = False
-            response = FinalResponse(503, b"too many connections\n")
-            self._report_rejection(response, request)
-            self._respond(response)
+            self._refuse(OVERLOADED_RESPONSE, request)
             return
         try:
             call = validate_request(request, self._listener.names, self._listener.settings)
@@ -258,7 +290,10 @@
             return
         waited_ns = time.monotonic_ns() - received_ns
         if waited_ns > MIN_QUEUE_WAIT_NS:
-            call = call._replace(timeout_ns=max(0, call.timeout_ns - waited_ns))
+            call = call._replace(timeout_ns=call.timeout_ns - waited_ns)
+            if call.timeout_ns <= 0:
+                self._refuse(NO_TIME_RESPONSE, request)
+                return
         proxy = self._listener.proxy
         request_id = proxy.start_request(call, self._respond_and_continue, self._client_has_left)
         if self._has_open_request:
@@ -289,16 +324,21 @@
             self._listener.open_trace_ids.discard(self._trace_id)
             self._trace_id = b""
 
+    def _end_request(self) -> None:
+        self._has_open_request = False
+        self._open_request_bytes = 0
+
     def _respond_and_continue(self, response: FinalResponse) -> None:
         """Send the proxy's response and start the next request."""
         self._respond(response)
         if self._request_id:  # if 0, `_start_requests` is still running and continues
             self._request_id = 0
-            self._start_requests()
+            if self._input.pipeline or self._input.error_status:
+                self._submit()
 
     def _respond(self, response: FinalResponse) -> None:
         """Send the response to the open request, and close the connection unless it is kept alive."""
-        self._has_open_request = False
+        self._end_request()
         self._release_trace_id()
         if self._closing or not self._transport:
             return
@@ -308,22 +348,28 @@
             self._closing = True
             self._transport.close()
         self._table.mark_inactive(self)
+        self._update_held()
 
     def _may_keep_alive(self) -> bool:
         """Whether the listener and the keep-alive policy keep the connection open.
 
-        The connection is never closed once the client has sent its next request, even if that is unread.
+        The connection is never closed once the client has sent its next request, even if that is unread:
+        closing would reset the connection and lose the response just written. Once the listener has closed,
+        the client could not send the remaining requests anywhere else either.
         """
-        if self._listener.stopping:
-            return self._has_more_input
-        if self._pipelined or self._parser.partial:
-            return True
+        if self._input or self._listener.stopping:
+            return bool(self._input) or self.has_unread_input
         if self._table.may_keep_alive(self.history) or self.has_unread_input:
             return True
         self._closed_by_policy = True
         self._table.log_close(CloseReason.KEEP_ALIVE_POLICY)
         return False
 
+    def _refuse(self, response: FinalResponse, request: http1.Request | None) -> None:
+        """Send the listener's own response to the open request, which is not passed to the proxy."""
+        self._report_rejection(response, request)
+        self._respond(response)
+
     def _reject(self, response: FinalResponse, request: http1.Request | None = None) -> None:
         """Send an error response and end the connection.
 
@@ -331,15 +377,16 @@
         unread input, the kernel would reset it and the client would never read the response. Therefore only
         the output ends, and the client has `LINGER_TIMEOUT_S` (timeouts.py) to close its side.
         """
-        self._has_open_request = False
+        self._end_request()
         self._closing = True
         self._report_rejection(response, request)
-        self._pipelined.clear()
-        self._parser.close()
+        self._input.clear()
         self._table.mark_inactive(self)
+        self._table.mark_lingering(self)
         if self._transport:
             self._transport.write(encode_final_response(response, close=True))
             self._transport.write_eof()
+        self._update_held()
 
     def _report_rejection(self, response: FinalResponse, request: http1.Request | None) -> None:
         """Log a response that the listener itself produced, and pass it to `on_reject`, if it is set."""
@@ -349,6 +396,8 @@
         if self._listener.on_reject:
             self._listener.on_reject(response, request)
 
+    # Timeouts and closing.
+
     def apply_timeouts(self, now_s: float) -> None:
         """Close or reject a connection without an open request if its client took too long.
 
@@ -362,16 +411,12 @@
             idle_timeout_s = self._listener.idle_timeout_s
             if not self.has_sent_request:
                 idle_timeout_s = timeouts.FIRST_REQUEST_TIMEOUT_S
-            action = timeouts.read_action(inactive_s, self._parser.partial, idle_timeout_s)
-        if action is not None:
-            self._apply(action)
-
-    def _apply(self, action: TimeoutAction) -> None:
+            action = timeouts.read_action(inactive_s, self._input.is_partial, idle_timeout_s)
         if action is TimeoutAction.ABORT:
             self.abort(CloseReason.UNREAD_RESPONSE)
         elif action is TimeoutAction.REJECT:
             self._reject(FinalResponse(HTTPStatus.REQUEST_TIMEOUT))
-        else:
+        elif action is TimeoutAction.CLOSE_IF_IDLE:
             self.close_if_idle(CloseReason.IDLE_TIMEOUT)
 
     def check_paused(self) -> None:
@@ -382,8 +427,8 @@
         if poll_now(self._transport, PEER_CLOSED_EVENTS):
             self.abort(CloseReason.CLIENT_CLOSED)
             self._cancel()
-        else:
-            self._note_unread_input()
+        elif self._reading:
+            self._reading.note_unread_input()
 
     def close_if_idle(self, reason: CloseReason) -> bool:
         """Close the connection if it is idle and has no unread input; return whether it was closed."""
@@ -400,3 +445,8 @@
         self._closing = True
         if self._transport:
             self._transport.abort()
+
+
+def _parser_error_response(status: int) -> FinalResponse:
+    """Return the response to input that the parser rejected, or that was given up for lack of memory."""
+    return OUT_OF_MEMORY_RESPONSE if status == HTTPStatus.SERVICE_UNAVAILABLE else FinalResponse(status)
--- a/anisespool/listener/connection_table.py
+++ b/anisespool/listener/connection_table.py
@@ -5,6 +5,7 @@
 import time
 from itertools import islice
 
+from anisespool.buffer_budget import SMALL_BYTES, BufferBudget
 from anisespool.listener.close_reason import CloseReason
 from anisespool.listener.eviction import (
     MAX_CANDIDATE_CONNECTIONS,
@@ -15,6 +16,9 @@
 from anisespool.listener.tracked_connection import TrackedConnection
 from anisespool.log import EventLimit, log_event
 
+# Connections above the limit, which are answered that there are too many, or are closing.
+MAX_EXCESS_CONNECTIONS = 16
+
 
 class ConnectionTable:
     """All open connections: new (no request so far), idle (between requests) and active (request open).
@@ -28,6 +32,9 @@
         accepting: Number of accepted sockets whose connection has not been added yet.
         paused: Connections that are not being read because too much input is pipelined.
         active: Connections with an open request.
+        receiving: Connections with a large partial request, the one without input for longest first.
+        lingering: Connections that wait for their client to read an error and close, the first one first.
+        unsent: Connections with unsent output, the one that has had some for longest first.
     """
 
     def __init__(self, keep_alive_policy: KeepAlivePolicy, max_connections: int) -> None:
@@ -37,6 +44,9 @@
         self.accepting = 0
         self.paused: set[TrackedConnection] = set()
         self.active: set[TrackedConnection] = set()
+        self.receiving: dict[TrackedConnection, None] = {}
+        self.lingering: dict[TrackedConnection, None] = {}
+        self.unsent: dict[TrackedConnection, None] = {}
         self._close_limit = EventLimit()
         self._rejection_limit = EventLimit()
         self._new: dict[TrackedConnection, None] = {}
@@ -78,16 +88,47 @@
 
     def mark_inactive(self, connection: TrackedConnection) -> None:
         """Move the connection to the new or the idle ones, because it has no open request."""
-        self.discard(connection)
+        self._leave_state(connection)
         connection.inactive_since_s = time.monotonic()
         (self._idle if connection.has_sent_request else self._new)[connection] = None
 
     def discard(self, connection: TrackedConnection) -> None:
         """Remove a connection, if it is in the table."""
+        self._leave_state(connection)
+        self.receiving.pop(connection, None)
+        self.unsent.pop(connection, None)
+        self.lingering.pop(connection, None)
+
+    def _leave_state(self, connection: TrackedConnection) -> None:
         self._new.pop(connection, None)
         self._idle.pop(connection, None)
         self.active.discard(connection)
 
+    def mark_receiving(self, connection: TrackedConnection, partial_bytes: int) -> None:
+        """Note that a connection has just received a part of a request, of which it holds so many bytes."""
+        self.receiving.pop(connection, None)
+        if partial_bytes > SMALL_BYTES:
+            self.receiving[connection] = None
+
+    def mark_lingering(self, connection: TrackedConnection) -> None:
+        """Note that a connection has an error as its last response, and its client has to close it."""
+        self.receiving.pop(connection, None)
+        self.lingering[connection] = None
+
+    def relieve(self, budget: BufferBudget) -> None:
+        """Give up input and output until the budget is not exceeded any more.
+
+        Partial requests whose clients have sent nothing for longest are rejected first: a client that sends
+        without a pause has its request complete soon. Then connections are closed whose responses have not
+        been read for longest.
+        """
+        while budget.is_exceeded and self.receiving:
+            next(iter(self.receiving)).give_up_partial_request()
+        while budget.is_exceeded and self.unsent:
+            connection = next(iter(self.unsent))
+            del self.unsent[connection]
+            connection.abort(CloseReason.UNREAD_RESPONSE)
+
     def may_keep_alive(self, history: ReuseHistory) -> bool:
         """Whether an active connection stays open after its response; may close an idle one to make room."""
         other_active = len(self.active) - 1
@@ -109,13 +150,25 @@
                 self.discard(connection)
                 return
 
+    @property
+    def is_at_limit(self) -> bool:
+        """Whether another connection has to end when one is accepted."""
+        return len(self) >= self.max_connections
+
+    @property
+    def is_full(self) -> bool:
+        """Whether no further connection may be accepted until others have closed."""
+        return len(self) >= self.max_connections + MAX_EXCESS_CONNECTIONS
+
     def evict_if_full(self) -> None:
-        """If the connection limit is reached, abort one connection so that the accepted one can be served."""
-        if len(self) < self.max_connections:
+        """If the connection limit is reached, end one connection so that the accepted one can be served."""
+        if not self.is_at_limit:
             return
-        if connection := connection_to_evict(self._new, self._idle, time.monotonic()):
+        if connection := connection_to_evict(self.lingering, self._new, self._idle, time.monotonic()):
             self.discard(connection)
             connection.abort(CloseReason.EVICTED)
+        elif self.receiving:
+            next(iter(self.receiving)).give_up_partial_request()
 
     def close_silent(self, now_s: float) -> None:
         """Close connections without a request when they use up the descriptors of a client process.
--- a/anisespool/listener/listener_context.py
+++ b/anisespool/listener/listener_context.py
@@ -9,8 +9,10 @@
 from typing import Protocol
 
 from anisespool.balancer import Settings
+from anisespool.buffer_budget import BufferBudget
 from anisespool.codec import http1
 from anisespool.config.platform import NameIndex
+from anisespool.listener.input_scheduler import InputScheduler
 from anisespool.loop_delay import LoopDelay
 from anisespool.proxy.call import FinalResponse
 from anisespool.proxy.proxy import Proxy
@@ -31,6 +33,9 @@
         open_trace_ids: Trace ids of the open requests.
         on_reject: Called with each response that the listener itself produces; None if not needed.
         loop_delay: The delay of the event loop.
+        budget: What connections hold in memory, and its limit.
+        scheduler: Shares the event loop between connections with input.
+        read_buffer: The buffer of the read in progress.
     """
 
     proxy: Proxy
@@ -41,3 +46,6 @@
     open_trace_ids: set[bytes]
     on_reject: RejectionCallback | None
     loop_delay: LoopDelay
+    budget: BufferBudget
+    scheduler: InputScheduler
+    read_buffer: memoryview
--- a/anisespool/listener/request.py
+++ b/anisespool/listener/request.py
@@ -16,6 +16,8 @@
 MAX_CLIENT_TIMEOUT_MS = 3_600_000  # one hour; clients may send any number, but timers have a limited range
 MAX_NUMBER_CHARACTERS = 18  # limit for a numeric header, so that its value fits 64 bits
 
+HEALTH_CHECK_PATH = b"/healthz"
+
 # The headers of a request that are read, besides those that frame a message.
 REQUEST_HEADERS = frozenset(
     (
--- a/anisespool/listener/server.py
+++ b/anisespool/listener/server.py
@@ -8,9 +8,11 @@
 from collections.abc import Callable
 
 from anisespool.balancer import Settings
+from anisespool.buffer_budget import BufferBudget
 from anisespool.config.platform import Address, NameIndex
 from anisespool.listener.connection import ClientConnection
 from anisespool.listener.connection_table import ConnectionTable
+from anisespool.listener.input_scheduler import InputScheduler
 from anisespool.listener.keepalive import KeepAlivePolicy
 from anisespool.listener.listener_context import RejectionCallback
 from anisespool.listener.timeouts import IDLE_TIMEOUT_S
@@ -20,8 +22,13 @@
 from anisespool.proxy.proxy import Proxy
 
 BACKLOG_CONNECTIONS = 512  # limit on connections that wait in the kernel, which drops further ones
-MAX_ACCEPTED_CONNECTIONS = 8  # limit for each iteration of the event loop
+# Limits for each iteration of the event loop: on accepted connections, and on those of them that were
+# accepted while others had to be closed for them, whose descriptors are free only in the next iteration.
+MAX_ACCEPTED_CONNECTIONS = 64
+MAX_EVICTING_CONNECTIONS = 8
 ACCEPT_RETRY_S = 0.05  # delay before accepting again after an error such as a lack of descriptors
+FULL_RETRY_S = 0.02  # delay before accepting again at the limit on connections
+READ_BYTES = 64 * 1024
 TURNS_TO_READ = 3  # turns of the event loop after which it has read what arrived before the first one
 SWEEP_INTERVAL_S = CHECK_INTERVAL_NS / 1e9
 
@@ -39,6 +46,9 @@
         open_trace_ids: Trace ids of the open requests.
         on_reject: Called with each response that the listener itself produces; None if not needed.
         loop_delay: The delay of the event loop, which the sweep checks.
+        budget: What connections hold in memory, and its limit.
+        scheduler: Shares the event loop between connections with input.
+        read_buffer: The buffer of the read in progress.
     """
 
     def __init__(
@@ -49,6 +59,7 @@
         max_connections: int,
         descriptors: int,
         loop_delay: LoopDelay,
+        budget: BufferBudget,
         on_sweep: Callable[[int], None],
     ) -> None:
         """Create a listener without a socket.
@@ -60,6 +71,7 @@
             max_connections: Limit on the number of client connections.
             descriptors: Limit on the number of descriptors of the whole process.
             loop_delay: The delay of the event loop.
+            budget: What connections hold in memory, and its limit.
             on_sweep: Called by each sweep with the number of open connections.
         """
         self.proxy = proxy
@@ -71,6 +83,9 @@
         self.open_trace_ids: set[bytes] = set()
         self.on_reject: RejectionCallback | None = None
         self.loop_delay = loop_delay
+        self.budget = budget
+        self.scheduler = InputScheduler()
+        self.read_buffer = memoryview(bytearray(READ_BYTES))
         self._on_sweep = on_sweep
         self._delay_limit = EventLimit()
         self._listening_socket: socket.socket | None = None
@@ -154,13 +169,28 @@
             asyncio.get_running_loop().add_reader(self._listening_socket, self._accept)
 
     def _accept(self) -> None:
-        """Accept at most `MAX_ACCEPTED_CONNECTIONS` connections.
-
-        Each may evict another connection, whose descriptor is free only in the event loop's next iteration.
-        """
+        """Accept the connections that wait, up to the limits for one iteration."""
+        evicting = 0
         for _ in range(MAX_ACCEPTED_CONNECTIONS):
-            if not self._accept_one():
+            if self.table.is_full:
+                self._make_room()
                 return
+            evicting += self.table.is_at_limit
+            if evicting > MAX_EVICTING_CONNECTIONS or not self._accept_one():
+                return
+
+    def _make_room(self) -> None:
+        """End some connections, and accept others once their descriptors are free."""
+        for _ in range(MAX_EVICTING_CONNECTIONS):
+            self.table.evict_if_full()
+        self._pause_accepting(FULL_RETRY_S)
+
+    def _pause_accepting(self, pause_s: float) -> None:
+        """Accept no connection for a while. Those that clients open meanwhile wait in the kernel."""
+        if self._listening_socket:
+            loop = asyncio.get_running_loop()
+            loop.remove_reader(self._listening_socket)
+            loop.call_later(pause_s, self._start_accepting)
 
     def _accept_one(self) -> bool:
         """Accept one connection, and return whether there may be more."""
@@ -174,8 +204,7 @@
         except OSError as error:
             # Without a free descriptor the listening socket stays readable, and the event loop would spin.
             log_event("listener_accept_failed", error=error, retry_s=ACCEPT_RETRY_S)
-            loop.remove_reader(self._listening_socket)
-            loop.call_later(ACCEPT_RETRY_S, self._start_accepting)
+            self._pause_accepting(ACCEPT_RETRY_S)
             return False
         self.table.evict_if_full()
         client_socket.setblocking(False)
--- a/anisespool/listener/tracked_connection.py
+++ b/anisespool/listener/tracked_connection.py
@@ -27,6 +27,10 @@
     def is_idle(self) -> bool:
         """Whether no request is open, pipelined or partly received, and the connection is not closing."""
 
+    @property
+    def has_waiting_request(self) -> bool:
+        """Whether a complete request may have been read that has not been started."""
+
     @property
     def has_pending_response(self) -> bool:
         """Whether a request waits for its response, or a response may not have been sent completely."""
@@ -42,6 +46,9 @@
     def apply_timeouts(self, now_s: float) -> None:
         """Close or reject the connection if its client took too long (`now_s`: monotonic clock)."""
 
+    def give_up_partial_request(self) -> None:
+        """Reject the request that is being received, and release its memory."""
+
     def check_paused(self) -> None:
         """Look at the socket while reading is paused: close the connection if the client has disconnected."""
 
--- a/anisespool/sidecar/composition.py
+++ b/anisespool/sidecar/composition.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from anisespool.balancer.interface import DiscoveryMode, EndpointListKind
+from anisespool.buffer_budget import BufferBudget
 from anisespool.config.platform import Address, PlatformConfig, PlatformConfigError
 from anisespool.discovery.catch_up import ListCatchUp
 from anisespool.discovery.timeouts import watch_timing
@@ -137,6 +138,7 @@
             client_connections,
             config.max_sockets,
             self.loop_delay,
+            BufferBudget.for_memory(config.max_memory_bytes),
             MemoryMonitor(config.max_memory_bytes).check,
         )
         self.server.on_reject = recorder.record_rejection if recorder else None
--- a/tests/test_decisions_page.py
+++ b/tests/test_decisions_page.py
@@ -19,9 +19,12 @@
 PAGE = (ROOT / "docs/decisions.md").read_text()
 # Modules of rules outside of the decision module.
 RULE_MODULES = (
+    "buffer_budget.py",
     "discovery/catch_up.py",
     "listener/eviction.py",
+    "listener/input_scheduler.py",
     "listener/keepalive.py",
+    "listener/pipeline.py",
     "listener/shutdown.py",
     "listener/timeouts.py",
     "loop_delay.py",
--- a/tests/test_dependencies.py
+++ b/tests/test_dependencies.py
@@ -12,11 +12,12 @@
 import pytest
 
 ROOT = Path(__file__).parent.parent
-COMMON_PACKAGES = {"balancer", "codec", "config", "log"}
+COMMON_PACKAGES = {"balancer", "buffer_budget", "codec", "config", "log"}
 """Packages that most others may import."""
 ALLOWED_IMPORTS: dict[str, set[str]] = {
     "log": set(),
     "backoff": set(),
+    "buffer_budget": set(),
     "loop_delay": set(),
     "tcp": set(),
     "balancer": {"log"},
@@ -101,6 +102,7 @@
     "balancer/selection/warmup_limiter.py",
     "balancer/selection/weights.py",
     "balancer/timers.py",
+    "buffer_budget.py",
     "codec/http1/encoding.py",
     "codec/http1/limits.py",
     "codec/http1/message.py",
@@ -117,6 +119,7 @@
     "listener/close_reason.py",
     "listener/input_arrival.py",
     "listener/keepalive.py",
+    "listener/pipeline.py",
     "listener/timeouts.py",
     "loop_delay.py",
     "membership/anti_entropy.py",
