Start no request before all that its client has sent has been read

Cause: POLLRDHUP shows a close only once the kernel has it, and it waits in the client's kernel for as long as the sidecar's receive buffer is full. The first request of a read was started while the rest lay unread; after a half-close all that had been read were, for seconds.

Now a request waits while the last read was as long as it may be and more is unread, and after a delay of the event loop or a pause of reading 10 ms longer, as the rest comes only some time after the kernel has been emptied (traced: the next read came 1 ms after one that had left the socket empty). A client that goes on sending for 0.25 s has its requests rejected, so that none waits longer.

--- a/anisespool/listener/connection.py
+++ b/anisespool/listener/connection.py
@@ -11,6 +11,7 @@
 from anisespool.listener import timeouts
 from anisespool.listener.close_reason import CloseReason
 from anisespool.listener.connection_table import ConnectionTable
+from anisespool.listener.input_arrival import BACKLOG_READ_NS
 from anisespool.listener.keepalive import ReuseHistory
 from anisespool.listener.listener_context import ListenerContext
 from anisespool.listener.reading import Reading
@@ -28,6 +29,7 @@
 MIN_QUEUE_WAIT_NS = 1_000_000  # a shorter wait in the pipeline is not subtracted from the client's timeout
 TIGHT_READ_BYTES = 16 * 1024  # limit on a read while connections hold much in memory
 MAX_STARTED_REQUESTS = 16  # limit on the requests that are started in one step
+MAX_UNREAD_WAIT_NS = 250_000_000  # a request is rejected if its client is still sending more after this time
 MAX_UNSENT_BYTES = http1.MAX_RESPONSE_BODY_BYTES  # no request is started while more output is unsent
 OVERLOADED_RESPONSE = FinalResponse(503, b"too many connections\n")
 OUT_OF_MEMORY_RESPONSE = FinalResponse(503, b"out of memory\n")
@@ -58,6 +60,7 @@
         self._reading: Reading | None = None
         self._input = ReceivedInput(listener.budget)
         self._held = BufferHolder(listener.budget)  # besides the input
+        self._read_limit = 0
         self._is_submitted = False  # to the input scheduler
         self._is_waiting_to_read = False  # until the scheduler's next step
         self._idle_before_request_s = 0.0
@@ -120,7 +123,8 @@
         Where memory is short only a part of it is used.
         """
         buffer = self._listener.read_buffer
-        return buffer[:TIGHT_READ_BYTES] if self._listener.budget.is_tight else buffer
+        self._read_limit = TIGHT_READ_BYTES if self._listener.budget.is_tight else len(buffer)
+        return buffer[: self._read_limit]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Take the input that has been read."""
@@ -133,6 +137,7 @@
             now_s = now_ns / 1e9
             self._idle_before_request_s = now_s - self.inactive_since_s
             self.inactive_since_s = now_s
+        self._note_unread_input(now_ns, is_full=nbytes == self._read_limit)
         self._input.add(bytes(self._listener.read_buffer[:nbytes]), self._reading.read(now_ns))
         self._submit()
 
@@ -144,8 +149,7 @@
         """Continue with the next request, as all responses have been sent."""
         self._table.unsent.pop(self, None)
         self._update_held()
-        if not self._closing:
-            self._submit()
+        self._check_unread_input()
 
     def eof_received(self) -> None:
         """Cancel the client's requests.
@@ -166,6 +170,19 @@
 
     # Input.
 
+    def _note_unread_input(self, now_ns: int, is_full: bool) -> None:
+        """Note whether more input has to be read before a request starts, and look again after a while."""
+        assert self._reading
+        self._input.has_more_unread = self._reading.may_miss_input(now_ns, is_full)
+        if self._input.has_more_unread and not is_full:
+            asyncio.get_running_loop().call_later(BACKLOG_READ_NS / 1e9, self._check_unread_input)
+
+    def _check_unread_input(self) -> None:
+        """Start the next request if nothing is left to be read before it."""
+        if not self._closing:
+            self._input.has_more_unread = self.has_unread_input
+            self._submit()
+
     def _submit(self) -> None:
         """Have the input handled, unless that is scheduled already."""
         if not self._is_submitted:
@@ -242,7 +259,11 @@
             return False
         if not self._input.pipeline:
             return bool(self._input.error_status) and self._input.is_parsed
-        return True
+        return not self._input.must_read_first or self._has_waited_too_long()
+
+    def _has_waited_too_long(self) -> bool:
+        first = self._input.pipeline.first
+        return first is not None and time.monotonic_ns() - first.received_ns > MAX_UNREAD_WAIT_NS
 
     def _start_requests(self) -> None:
         """Start received requests in order, up to the first one without an immediate response."""
@@ -256,6 +277,7 @@
 
     def _start_next(self) -> None:
         """Take the next request from the pipeline, and respond to it or pass it to the proxy."""
+        is_sending = self._input.must_read_first
         is_out_of_memory = self._listener.budget.is_exceeded
         pipelined = self._input.take_next()
         self._has_open_request = True
@@ -264,8 +286,8 @@
         self.has_sent_request = True
         self._table.keep_alive_policy.request_received(self.history, self._idle_before_request_s)
         self._table.mark_active(self)
-        if pipelined is None:
-            self._refuse(NOT_KEPT_RESPONSE, None)
+        if pipelined is None or is_sending:
+            self._refuse(NOT_KEPT_RESPONSE, pipelined.request if pipelined else None)
         elif is_out_of_memory and pipelined.size_bytes > SMALL_BYTES:
             self._refuse(OUT_OF_MEMORY_RESPONSE, pipelined.request)
         else:
--- a/anisespool/listener/reading.py
+++ b/anisespool/listener/reading.py
@@ -7,7 +7,7 @@
 import time
 
 from anisespool import tcp
-from anisespool.listener.input_arrival import InputArrival
+from anisespool.listener.input_arrival import BACKLOG_READ_NS, InputArrival
 from anisespool.listener.transport import poll_now
 from anisespool.loop_delay import LoopDelay
 
@@ -21,7 +21,7 @@
         is_paused: Whether reading is paused by `update`.
     """
 
-    __slots__ = ("_arrival", "_loop_delay", "_transport", "is_paused")
+    __slots__ = ("_arrival", "_full_read_at", "_loop_delay", "_transport", "is_paused")
 
     def __init__(self, transport: asyncio.Transport, loop_delay: LoopDelay) -> None:
         """Begin to read."""
@@ -29,6 +29,7 @@
         self._transport = transport
         self._loop_delay = loop_delay
         self._arrival: InputArrival | None = None  # set by the first pause
+        self._full_read_at = 0
 
     @property
     def has_unread_input(self) -> bool:
@@ -39,6 +40,23 @@
         """Return the earliest time at which the input may have arrived that is read now."""
         return self._arrival.input_read(now_ns) if self._arrival else now_ns
 
+    def may_miss_input(self, now_ns: int, is_full: bool) -> bool:
+        """Return whether the client may have sent more than what has been read by now.
+
+        After a time without reading, the kernel may have been full, and get the rest from the client's kernel
+        only some time after it has been emptied.
+
+        Args:
+            now_ns: The time of this read.
+            is_full: Whether this read was as long as it may be.
+        """
+        if is_full:
+            self._full_read_at = now_ns
+            return self.has_unread_input
+        is_late = self._loop_delay.earliest_input_at(now_ns) != now_ns
+        is_behind = self._arrival is not None and self._arrival.is_behind
+        return (is_late or is_behind) and now_ns - self._full_read_at < BACKLOG_READ_NS
+
     def update(self, may_read: bool) -> None:
         """Pause or resume reading, or note that a read has been handled and reading goes on."""
         if self._transport.is_closing():
--- a/anisespool/listener/received_input.py
+++ b/anisespool/listener/received_input.py
@@ -12,7 +12,7 @@
 from anisespool.buffer_budget import BufferBudget, BufferHolder
 from anisespool.codec import http1
 from anisespool.listener.pipeline import PipelinedRequest, RequestPipeline
-from anisespool.listener.request import REQUEST_HEADERS
+from anisespool.listener.request import HEALTH_CHECK_PATH, REQUEST_HEADERS
 
 PARSE_BYTES = 4096  # limit on the input that is parsed in one step
 SHORT_INPUT_BYTES = 2048  # input that takes so little time that it need not wait for its turn
@@ -24,6 +24,7 @@
 
     Attributes:
         pipeline: Complete requests that have not been started.
+        has_more_unread: Whether the last read left input in the kernel.
     """
 
     __slots__ = (
@@ -32,12 +33,14 @@
         "_parser",
         "_requests_in_read",
         "_unparsed",
+        "has_more_unread",
         "pipeline",
     )
 
     def __init__(self, budget: BufferBudget) -> None:
         """Begin without input. `budget` limits the requests that are kept, and is told of all input."""
         self.pipeline = RequestPipeline(budget)
+        self.has_more_unread = False
         self._parser = http1.RequestParser(http1.MAX_REQUEST_BODY_BYTES, REQUEST_HEADERS)
         self._held = BufferHolder(budget)
         self._unparsed = NO_INPUT  # rest of the last read
@@ -73,6 +76,17 @@
         """Status of the response to invalid input, after which nothing more is parsed; 0 without an error."""
         return self._parser.error_status
 
+    @property
+    def must_read_first(self) -> bool:
+        """Whether the next request waits until all input is read, as its client's close may be behind it.
+
+        A health check does not wait, because nothing is sent for it.
+        """
+        if self.is_parsed and not self.has_more_unread:
+            return False
+        first = self.pipeline.first
+        return first is not None and first.request.target.partition(b"?")[0] != HEALTH_CHECK_PATH
+
     def add(self, data: bytes, arrived_at: int) -> None:
         """Add what was read. Requires that all earlier input has been parsed.
 
