Execute no request again whose id comes again after its client has left

Cause: the id was free as soon as its request had ended for the client, though an endpoint may have executed it or was executing it.

The platform gives each request a new id, a client's retry too, so that only a repeat of the same request is affected; one that was refused unexecuted may come again.

--- a/anisespool/listener/connection.py
+++ b/anisespool/listener/connection.py
@@ -24,7 +24,7 @@
 )
 from anisespool.listener.timeouts import TimeoutAction
 from anisespool.listener.transport import PEER_CLOSED_EVENTS, encode_final_response, poll_now
-from anisespool.proxy.call import FinalResponse
+from anisespool.proxy.call import Call, FinalResponse
 
 MIN_QUEUE_WAIT_NS = 1_000_000  # a shorter wait in the pipeline is not subtracted from the client's timeout
 TIGHT_READ_BYTES = 16 * 1024  # limit on a read while connections hold much in memory
@@ -306,7 +306,7 @@
             return
         try:
             call = validate_request(request, self._listener.names, self._listener.settings)
-            self._reserve_trace_id(request.headers[b"x-trace-id"])
+            self._reserve_trace_id(call)
         except InvalidRequest as error:
             self._reject(FinalResponse(error.status, f"{error}\n".encode()), request)
             return
@@ -327,19 +327,21 @@
             return True
         return poll_now(self._transport, PEER_CLOSED_EVENTS)
 
-    def _reserve_trace_id(self, trace_id: bytes) -> None:
+    def _reserve_trace_id(self, call: Call) -> None:
         """Reserve the trace id for as long as the request is open.
 
         If two open requests had the same id, a client could receive the response to the other request, or an
         endpoint could execute one request twice.
 
         Raises:
-            DuplicateTraceId: Another open request has this id.
+            DuplicateTraceId: Another open request has this id, or one that may have been executed.
         """
-        if trace_id in self._listener.open_trace_ids:
+        if call.trace_id in self._listener.open_trace_ids:
             raise DuplicateTraceId("a request with this X-Trace-Id is open")
-        self._trace_id = trace_id
-        self._listener.open_trace_ids.add(trace_id)
+        if self._listener.proxy.was_executed(call):
+            raise DuplicateTraceId("a request with this X-Trace-Id may have been executed")
+        self._trace_id = call.trace_id
+        self._listener.open_trace_ids.add(call.trace_id)
 
     def _release_trace_id(self) -> None:
         if self._trace_id:
--- a/anisespool/listener/request.py
+++ b/anisespool/listener/request.py
@@ -60,7 +60,7 @@
 
 
 class DuplicateTraceId(InvalidRequest):
-    """Another open request has the same X-Trace-Id."""
+    """Another request has the same X-Trace-Id, which is open or may have been executed."""
 
     status = HTTPStatus.CONFLICT
 
--- a/anisespool/proxy/call.py
+++ b/anisespool/proxy/call.py
@@ -32,3 +32,8 @@
     """Digest of the key by which requests are sent to the same endpoint or kept in order; 0 without a key."""
     is_retry: bool
     """Whether the client marked the request as its own retry."""
+
+    @property
+    def trace_id(self) -> bytes:
+        """The id that the client gave the request; empty without one."""
+        return self.request.headers.get(b"x-trace-id", b"")
--- a/anisespool/proxy/exchange.py
+++ b/anisespool/proxy/exchange.py
@@ -41,6 +41,8 @@
     attempts: list[Attempt] = field(default_factory=list)
     backstop: asyncio.TimerHandle | None = None
     """Timer after which the proxy responds without the balancer."""
+    was_executed: bool = False
+    """Whether `may_have_executed` was true when sending was stopped."""
     completion: Completion | None = None
     """Set only if request records are kept."""
 
@@ -52,6 +54,7 @@
 
     def stop_sending(self) -> None:
         """Close the connections of unfinished attempts. Nothing is sent for a request after its response."""
+        self.was_executed = self.may_have_executed
         for attempt in self.attempts:
             attempt.stop_sending()
 
@@ -67,6 +70,11 @@
         """Whether no response is due any more and every attempt has its status."""
         return self.send_response is None and all(attempt.status is not None for attempt in self.attempts)
 
+    @property
+    def may_have_executed(self) -> bool:
+        """Whether an endpoint may have executed the request."""
+        return self.was_executed or any(attempt.may_have_executed for attempt in self.attempts)
+
     def retries_end_at(self, request_class: RequestClass) -> float:
         """Return the time after which no further attempt may begin, because it could execute twice.
 
@@ -83,6 +91,5 @@
 
         It follows the balancer's rule on whether the client may retry.
         """
-        may_have_executed = any(attempt.may_have_executed for attempt in self.attempts)
-        may_retry = may_client_retry(request_class, may_have_executed)
+        may_retry = may_client_retry(request_class, self.may_have_executed)
         return RETRYABLE_RESPONSE if may_retry else NON_RETRYABLE_RESPONSE
--- a/anisespool/proxy/proxy.py
+++ b/anisespool/proxy/proxy.py
@@ -12,7 +12,7 @@
 
 from anisespool.balancer import Balancer
 from anisespool.balancer import interface as api
-from anisespool.balancer.interface import AttemptStatus, EndpointListKind
+from anisespool.balancer.interface import AttemptStatus, EndpointListKind, Idempotency
 from anisespool.config.platform import EndpointList, PlatformConfig
 from anisespool.log import log_event, write_event
 from anisespool.proxy.balancer_driver import BalancerDriver
@@ -20,6 +20,7 @@
 from anisespool.proxy.deadlines import attempts_end_at, backstop_at
 from anisespool.proxy.endpoint_registry import EndpointRegistry
 from anisespool.proxy.exchange import Exchange
+from anisespool.proxy.executed_ids import ExecutedIds
 from anisespool.proxy.request_log import RequestLog
 from anisespool.upstream.attempt import Attempt
 from anisespool.upstream.cluster import Cluster
@@ -62,6 +63,7 @@
         )
         self._exchanges: dict[int, Exchange] = {}
         self._request_log = RequestLog()
+        self._executed_ids = ExecutedIds()
         self._last_request_id = 0
         self._shutdown_deadline_at: int | None = None
 
@@ -113,11 +115,25 @@
         )
         return request_id
 
+    def was_executed(self, call: Call) -> bool:
+        """Return whether a request with this one's id may have been executed, and must not be again."""
+        if self._classes[call.request_class].idempotency is Idempotency.IDEMPOTENT:
+            return False
+        return self._executed_ids.contains(call.trace_id, time.monotonic_ns())
+
+    def _note_executed(self, exchange: Exchange) -> None:
+        """Remember the id of a request that ends and may have been executed, unless it is idempotent."""
+        call = exchange.call
+        is_idempotent = self._classes[call.request_class].idempotency is Idempotency.IDEMPOTENT
+        if not is_idempotent and exchange.may_have_executed:
+            self._executed_ids.add(call.trace_id, time.monotonic_ns())
+
     def client_disconnected(self, request_id: int) -> None:
         """Cancel the attempts of a request whose client has disconnected."""
         exchange = self._exchanges.get(request_id)
         if exchange and exchange.send_response:
             self._request_log.abandoned(request_id, exchange)
+            self._note_executed(exchange)
             exchange.close()
             self._abandon(request_id, exchange)
 
@@ -277,6 +293,7 @@
         send_response = exchange.send_response
         exchange.close()
         if send_response:
+            self._note_executed(exchange)
             send_response(response)
 
     def _remove_if_finished(self, request_id: int) -> None:
--- a/anisespool/proxy/request_log.py
+++ b/anisespool/proxy/request_log.py
@@ -88,4 +88,4 @@
 
 
 def _trace_id(exchange: Exchange) -> str:
-    return exchange.call.request.headers.get(b"x-trace-id", b"").decode("latin-1")
+    return exchange.call.trace_id.decode("latin-1")
--- a/tests/harness/client.py
+++ b/tests/harness/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 
 from anisespool.config.platform import Address
 from anisespool.fakes import http1
@@ -11,6 +12,12 @@
 HEALTH_CHECK = b"GET /healthz HTTP/1.1\r\n\r\n"
 DEADLINE_TOLERANCE_S = 0.07
 """Time after a deadline that the rules still allow on sockets."""
+_request_numbers = itertools.count(1)
+
+
+def new_trace_id() -> str:
+    """Return an id that no other request has, as the platform's protocol wants."""
+    return f"request-{next(_request_numbers)}"
 
 
 def request_bytes(
--- a/tests/test_decisions_page.py
+++ b/tests/test_decisions_page.py
@@ -29,6 +29,7 @@
     "listener/timeouts.py",
     "loop_delay.py",
     "proxy/deadlines.py",
+    "proxy/executed_ids.py",
     "sidecar/shutdown.py",
     "upstream/cluster.py",
 )
--- a/tests/test_dependencies.py
+++ b/tests/test_dependencies.py
@@ -142,6 +142,7 @@
     "membership/updates.py",
     "membership/view.py",
     "proxy/deadlines.py",
+    "proxy/executed_ids.py",
     "records/accounting.py",
     "records/buffer.py",
     "records/outcome.py",
