Send nothing to the old entry of an address at which a newer process has come up

As long as discovery lists the ended process, too, its entry was used: requests reached the new process under the old id, also while that was draining, and with the old one's zone and cell, within which a keyed request may be repeated; connections to the old process were kept for use.

AddressOwners compares the starts of the endpoints that are listed with one address: only the latest gets requests, the others count as draining until it is removed, they move, or are listed with a later start (endpoint_superseded). A listed drain of an older list is not ended by that.

With equal or unknown starts each entry is used as before.

--- a/anisespool/proxy/endpoint_registry.py
+++ b/anisespool/proxy/endpoint_registry.py
@@ -13,7 +13,8 @@
 from anisespool.balancer import interface as api
 from anisespool.balancer.interface import EndpointListKind, EndpointState
 from anisespool.config.platform import EndpointEntry, EndpointList
-from anisespool.discovery.drains import DrainTracker, effective_state
+from anisespool.discovery.address_owners import AddressOwners
+from anisespool.discovery.drains import NO_REVISION, DrainTracker, effective_state
 from anisespool.log import log_event
 from anisespool.upstream.cluster import Cluster
 
@@ -41,6 +42,7 @@
         self._listed: dict[str, EndpointEntry] = {}
         self._revision = 0
         self._drain_tracker = DrainTracker()
+        self._address_owners = AddressOwners()
 
     def apply(self, update: EndpointList, kind: EndpointListKind) -> list[api.EndpointListing]:
         """Apply a full list or changes to the current one, and update the connection pools.
@@ -54,29 +56,57 @@
         """
         if kind is not EndpointListKind.DELTA:
             self._remove_all_but({entry.id for entry in update.endpoints}, update.revision)
-        listings: list[api.EndpointListing] = []
+        affected = self._place(update.endpoints)
         contradicted: list[str] = []
+        listings: list[api.EndpointListing] = []
         for entry in update.endpoints:
-            number = self._number_of(entry)
             tracked = self._track_state(entry.id, entry.listing, entry.listing.state, update.revision)
             if tracked != entry.listing.state:
                 contradicted.append(entry.id)
-            self._listed[entry.id] = entry
-            state = effective_state(tracked, entry.id in self.operator_drains)
-            listings.append(entry.listing._replace(endpoint=number, state=state))
-            if state == EndpointState.GONE:
-                self.remove(entry.id)
-            else:
-                self._set_ready(number, entry, state == EndpointState.READY)
+            listings.append(self._apply_entry(entry, tracked))
+        for endpoint_id in sorted(affected):
+            entry = self._listed[endpoint_id]
+            tracked = self._track_state(endpoint_id, entry.listing, entry.listing.state, NO_REVISION)
+            listings.append(self._apply_entry(entry, tracked))
         if contradicted:
             self._schedule_reapply(contradicted, update.revision)
         self._revision = update.revision
         return listings
 
+    def _place(self, entries: tuple[EndpointEntry, ...]) -> set[str]:
+        """Note the addresses of an update's entries; return other endpoints whose state that may change."""
+        affected: set[str] = set()
+        for entry in entries:
+            if entry.listing.state == EndpointState.GONE:
+                affected |= self._address_owners.remove(entry.id)
+            else:
+                affected |= self._address_owners.place(entry.id, entry.address, entry.listing.started_ns)
+        return affected - {entry.id for entry in entries}
+
+    def _apply_entry(self, entry: EndpointEntry, tracked_state: int) -> api.EndpointListing:
+        """Update the connection pool of an endpoint, and return its listing for the balancer.
+
+        Args:
+            entry: The endpoint as received from discovery.
+            tracked_state: Its state with earlier drains applied.
+        """
+        number = self._number_of(entry)
+        self._listed[entry.id] = entry
+        state = effective_state(tracked_state, entry.id in self.operator_drains)
+        if state == EndpointState.READY and (successor := self._address_owners.successor(entry.id)):
+            log_event("endpoint_superseded", endpoint=entry.id, successor=successor)
+            state = EndpointState.DRAINING
+        if state == EndpointState.GONE:
+            self.remove(entry.id)
+        else:
+            self._set_ready(number, entry, state == EndpointState.READY)
+        return entry.listing._replace(endpoint=number, state=state)
+
     def remove(self, endpoint_id: str) -> None:
         """Remove an endpoint, its number and its connection pool."""
         number = self.numbers.pop(endpoint_id)
         self._listed.pop(endpoint_id, None)
+        self._address_owners.remove(endpoint_id)
         self.ready_numbers.discard(number)
         self._cluster.remove(number)
 
@@ -89,11 +119,14 @@
         return self._listed[endpoint_id]
 
     def ready_ids(self) -> set[str]:
-        """Return the ids that discovery lists as ready, before operator drains are applied."""
+        """Return the ids that discovery lists as ready, before operator drains are applied.
+
+        An endpoint whose address a newer process has is not one of them.
+        """
         return {
             endpoint_id
             for endpoint_id, entry in self._listed.items()
-            if entry.listing.state == EndpointState.READY
+            if entry.listing.state == EndpointState.READY and not self._address_owners.successor(endpoint_id)
         }
 
     def last_listings(self, endpoint_ids: list[str]) -> EndpointList:
--- a/tests/proxy/test_address_reuse.py
+++ b/tests/proxy/test_address_reuse.py
@@ -71,3 +71,14 @@
         assert endpoint.closed_by_peer == 1
         assert (await send_request(sidecar.address, request_bytes("look", "t2"))).status == 200
         assert len(endpoint.connections) == 2
+
+
+async def test_a_removed_successor_does_not_end_a_drain_of_an_older_list(tmp_path: Path) -> None:
+    """The entries that an update affects by their address alone keep what an earlier list said of them."""
+    async with Endpoint().serve() as endpoint, running_sidecar(tmp_path, endpoint) as sidecar:
+        new = member("s-new", endpoint.address, up_since_ms=NOW_MS - 60_000)
+        await publish(sidecar, 5, member("s-0", endpoint.address, phase="draining"), new, complete=False)
+        await publish(sidecar, 4, member("s-0", endpoint.address), complete=False)  # behind
+        await publish(sidecar, 6, member("s-new", endpoint.address, phase="removed"), complete=False)
+        assert (await send_request(sidecar.address, request_bytes("look", "t1"))).status == 503
+        assert not endpoint.requests
--- a/tests/sidecar/test_memory_monitor.py
+++ b/tests/sidecar/test_memory_monitor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import mmap
 import re
 
 import pytest
@@ -23,6 +24,8 @@
 
 
 def test_the_resident_memory_grows_with_what_the_process_holds() -> None:
-    before = resident_bytes()
-    held = b"x" * (50 * BYTES_PER_MB)
-    assert resident_bytes() - before > len(held) // 2
+    size_bytes = 50 * BYTES_PER_MB
+    with mmap.mmap(-1, size_bytes) as held:  # pages of its own, whatever the process has freed before
+        before = resident_bytes()
+        held.write(b"x" * size_bytes)
+        assert resident_bytes() - before > size_bytes // 2
--- a/tests/test_dependencies.py
+++ b/tests/test_dependencies.py
@@ -112,6 +112,7 @@
     "codec/json_stream.py",
     "codec/load_report.py",
     "control/generations.py",
+    "discovery/address_owners.py",
     "discovery/drains.py",
     "discovery/repeat_limit.py",
     "discovery/timeouts.py",
