Bound the memory and the time that endpoints' unfinished responses take

Responses that are being received count towards the budget of all connections. Reads of over 16 KiB are parsed in steps that the input scheduler shares out between clients and endpoints.

--- a/anisespool/codec/http1/response_parser.py
+++ b/anisespool/codec/http1/response_parser.py
@@ -51,7 +51,7 @@
         """Release the httptools parser, which forms a reference cycle with this object."""
         self._parser = None
 
-    def feed(self, data: bytes) -> Response | None:
+    def feed(self, data: bytes | memoryview) -> Response | None:
         """Parse received bytes and return the response once it is complete."""
         if self._parser and not self.failed:
             try:
--- a/anisespool/listener/listener_context.py
+++ b/anisespool/listener/listener_context.py
@@ -12,7 +12,7 @@
 from anisespool.buffer_budget import BufferBudget
 from anisespool.codec import http1
 from anisespool.config.platform import NameIndex
-from anisespool.listener.input_scheduler import InputScheduler
+from anisespool.input_scheduler import InputScheduler
 from anisespool.loop_delay import LoopDelay
 from anisespool.proxy.call import FinalResponse
 from anisespool.proxy.proxy import Proxy
--- a/anisespool/listener/server.py
+++ b/anisespool/listener/server.py
@@ -10,9 +10,9 @@
 from anisespool.balancer import Settings
 from anisespool.buffer_budget import BufferBudget
 from anisespool.config.platform import Address, NameIndex
+from anisespool.input_scheduler import InputScheduler
 from anisespool.listener.connection import ClientConnection
 from anisespool.listener.connection_table import ConnectionTable
-from anisespool.listener.input_scheduler import InputScheduler
 from anisespool.listener.keepalive import KeepAlivePolicy
 from anisespool.listener.listener_context import RejectionCallback
 from anisespool.listener.timeouts import IDLE_TIMEOUT_S
@@ -60,6 +60,7 @@
         descriptors: int,
         loop_delay: LoopDelay,
         budget: BufferBudget,
+        scheduler: InputScheduler,
         on_sweep: Callable[[int], None],
     ) -> None:
         """Create a listener without a socket.
@@ -72,6 +73,7 @@
             descriptors: Limit on the number of descriptors of the whole process.
             loop_delay: The delay of the event loop.
             budget: What connections hold in memory, and its limit.
+            scheduler: Shares the event loop between connections with input.
             on_sweep: Called by each sweep with the number of open connections.
         """
         self.proxy = proxy
@@ -84,7 +86,7 @@
         self.on_reject: RejectionCallback | None = None
         self.loop_delay = loop_delay
         self.budget = budget
-        self.scheduler = InputScheduler()
+        self.scheduler = scheduler
         self.read_buffer = memoryview(bytearray(READ_BYTES))
         self._on_sweep = on_sweep
         self._delay_limit = EventLimit()
--- a/anisespool/sidecar/composition.py
+++ b/anisespool/sidecar/composition.py
@@ -15,6 +15,7 @@
 from anisespool.discovery.catch_up import ListCatchUp
 from anisespool.discovery.timeouts import watch_timing
 from anisespool.discovery.watch import EndpointWatch
+from anisespool.input_scheduler import InputScheduler
 from anisespool.listener.server import Server
 from anisespool.log import log_event
 from anisespool.loop_delay import LoopDelay
@@ -113,12 +114,16 @@
         connections = max(MIN_CONNECTIONS, config.max_sockets - RESERVED_CONNECTIONS)
         client_connections = int(connections * CLIENT_CONNECTION_SHARE)
         self.loop_delay = LoopDelay(time.monotonic_ns())
+        budget = BufferBudget.for_memory(config.max_memory_bytes)
+        scheduler = InputScheduler()
         self.cluster = Cluster(
             settings.load_report_columns,
             settings.connect_timeout_ns,
             config.keepalive_ns,
             connections - client_connections,
             gate=ListCatchUp(self.loop_delay, lambda: self.watch.has_unread_updates()),
+            budget=budget,
+            scheduler=scheduler,
         )
         self.features = _optional_features(config, operator_config, self.cluster)
         recorder = self.features.recorder if self.features else None
@@ -138,7 +143,8 @@
             client_connections,
             config.max_sockets,
             self.loop_delay,
-            BufferBudget.for_memory(config.max_memory_bytes),
+            budget,
+            scheduler,
             MemoryMonitor(config.max_memory_bytes).check,
         )
         self.server.on_reject = recorder.record_rejection if recorder else None
--- a/anisespool/upstream/cluster.py
+++ b/anisespool/upstream/cluster.py
@@ -8,7 +8,9 @@
 from typing import Any, NamedTuple
 
 from anisespool.balancer.interface import AttemptStatus
+from anisespool.buffer_budget import MAX_LIMIT_BYTES, BufferBudget
 from anisespool.config.platform import Address
+from anisespool.input_scheduler import InputScheduler
 from anisespool.upstream.attempt import Attempt
 from anisespool.upstream.connection_pool import ConnectionPool
 from anisespool.upstream.connection_settings import ConnectionSettings
@@ -52,6 +54,8 @@
         max_connections: int,
         reuse_delay_s: float = REUSE_DELAY_S,
         gate: SendGate | None = None,
+        budget: BufferBudget | None = None,
+        scheduler: InputScheduler | None = None,
     ) -> None:
         """Create a cluster without endpoints.
 
@@ -62,6 +66,8 @@
             max_connections: Limit on open connections and connects in progress, over all endpoints.
             reuse_delay_s: See `ConnectionSettings`.
             gate: Holds attempts back; None if nothing does.
+            budget: What connections hold in memory, and its limit; None for one of its own.
+            scheduler: Shares the event loop between connections with input; None for one of its own.
         """
         self._gate = gate or AlwaysOpen()
         self._default_connect_timeout_s = connect_timeout_ns / 1e9 or DEFAULT_CONNECT_TIMEOUT_S
@@ -71,6 +77,8 @@
             keepalive_ns / 1e9 * IDLE_TIMEOUT_SHARE,
             reuse_delay_s,
             MAX_IDLE_CONNECTIONS,
+            budget or BufferBudget(MAX_LIMIT_BYTES),
+            scheduler or InputScheduler(),
         )
         self._max_connections = max_connections
         self._pools: dict[int, ConnectionPool] = {}
--- a/anisespool/upstream/connection.py
+++ b/anisespool/upstream/connection.py
@@ -9,8 +9,10 @@
 
 from anisespool import tcp
 from anisespool.balancer.interface import AttemptStatus
+from anisespool.buffer_budget import SMALL_BYTES, BufferHolder
 from anisespool.codec import http1
 from anisespool.codec.load_report import parse_load_report
+from anisespool.log import log_event
 from anisespool.upstream.attempt import Attempt
 from anisespool.upstream.attempt_outcome import NEVER_RAN_HEADER, status_of_loss, status_of_response
 from anisespool.upstream.connection_pool import ConnectionPool
@@ -20,6 +22,8 @@
     b"idempotency-key": b"Idempotency-Key",
     b"content-type": b"Content-Type",
 }
+PARSE_BYTES = 16 * 1024  # limit on the input that is parsed at once
+NO_INPUT = memoryview(b"")
 LOAD_REPORT_HEADER = b"endpoint-load-metrics"
 RESPONSE_HEADERS = frozenset((LOAD_REPORT_HEADER, NEVER_RAN_HEADER))
 
@@ -49,6 +53,8 @@
         self._transport: asyncio.Transport | None = None
         self._poll: select.poll | None = None
         self._request_size = 0
+        self._held = BufferHolder(pool.settings.budget)
+        self._unparsed = NO_INPUT  # rest of a long read
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection as open, and prepare to monitor its socket and write buffer."""
@@ -115,18 +121,51 @@
         self._pool.last_received_ns = time.monotonic_ns()
         if self._attempt is None or self._parser is None:
             self.abort()  # unsolicited data
+        elif len(data) <= PARSE_BYTES:
+            self._parse(data)
+        else:
+            self._unparsed = memoryview(data)
+            assert self._transport
+            self._transport.pause_reading()
+            self._pool.settings.scheduler.submit(self, is_short=False)
+
+    def handle_input(self) -> bool:
+        """Parse the next part of a long read; return whether there is more."""
+        data = self._unparsed[:PARSE_BYTES]
+        self._unparsed = self._unparsed[PARSE_BYTES:]
+        if data:
+            self._parse(data)
+        if not self._unparsed and self._transport and not self.is_closing:
+            self._transport.resume_reading()
+        return bool(self._unparsed)
+
+    def _parse(self, data: bytes | memoryview) -> None:
+        if self._attempt is None or self._parser is None:
             return
         response = self._parser.feed(data)
         if response:
             self._on_response(response)
-        elif self._parser.failed:
+        elif self._parser.failed or self._is_out_of_memory(self._parser.stored_bytes):
             self._finish_attempt(status_of_loss(self.has_unsent_bytes))
 
+    def _is_out_of_memory(self, response_bytes: int) -> bool:
+        """Whether the response has to be given up, as connections hold too much and it is no short one."""
+        self._held.hold(response_bytes + len(self._unparsed))
+        budget = self._pool.settings.budget
+        if not budget.is_exceeded or response_bytes <= SMALL_BYTES:
+            return False
+        if count := self._pool.given_up_limit.count_to_log(""):
+            address = self._pool.host_header.decode()
+            log_event("response_given_up", address=address, bytes=response_bytes, count=count)
+        return True
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Leave the pool and end the attempt, with its response if the close completes the response."""
         self._pool.open_connections.discard(self)
         if self in self._pool.idle:
             self._pool.idle.remove(self)
+        while self._unparsed:
+            self.handle_input()
         if self._attempt is None or self._parser is None:
             return
         response = self._parser.feed_eof() if exc is None else None
@@ -142,6 +181,7 @@
         client is written, and the kernel would go on sending until then.
         """
         self._attempt = None
+        self._unparsed = NO_INPUT
         self._pool.active.discard(self)
         self._close_parser()
         self._pool.open_connections.discard(self)
@@ -150,7 +190,7 @@
             tcp.close_without_delivering(self._socket)
 
     def _on_response(self, response: http1.Response) -> None:
-        reusable = response.keep_alive and not self.has_unsent_bytes
+        reusable = response.keep_alive and not self.has_unsent_bytes and not self._unparsed
         status = status_of_response(response.status, response.headers)
         self._finish_attempt(status, response, reusable)
 
@@ -175,6 +215,7 @@
         attempt.finish(status, response)
 
     def _close_parser(self) -> None:
+        self._held.hold(0)
         if self._parser:
             self._parser.close()
             self._parser = None
--- a/anisespool/upstream/connection_pool.py
+++ b/anisespool/upstream/connection_pool.py
@@ -7,6 +7,7 @@
 
 from anisespool.balancer.interface import AttemptStatus
 from anisespool.config.platform import Address
+from anisespool.log import EventLimit
 from anisespool.upstream.attempt import Attempt
 from anisespool.upstream.connection_settings import ConnectionSettings
 from anisespool.upstream.pooled_connection import PooledConnection
@@ -35,6 +36,8 @@
     """Connections that carry an attempt."""
     connecting: set[Attempt] = field(default_factory=set)
     """Attempts that wait for a new connection."""
+    given_up_limit: EventLimit = field(default_factory=EventLimit)
+    """Limits the log lines on responses that were given up."""
     host_header: bytes = field(init=False)
 
     def __post_init__(self) -> None:
--- a/anisespool/upstream/connection_settings.py
+++ b/anisespool/upstream/connection_settings.py
@@ -4,6 +4,9 @@
 
 from dataclasses import dataclass
 
+from anisespool.buffer_budget import BufferBudget
+from anisespool.input_scheduler import InputScheduler
+
 
 @dataclass(slots=True)
 class ConnectionSettings:
@@ -19,3 +22,7 @@
     """How long a connection stays idle after a response before it may carry the next request."""
     max_idle: int
     """Limit on idle connections for each endpoint."""
+    budget: BufferBudget
+    """What connections hold in memory, and its limit."""
+    scheduler: InputScheduler
+    """Shares the event loop between connections with input."""
--- a/tests/test_decisions_page.py
+++ b/tests/test_decisions_page.py
@@ -22,7 +22,7 @@
     "buffer_budget.py",
     "discovery/catch_up.py",
     "listener/eviction.py",
-    "listener/input_scheduler.py",
+    "input_scheduler.py",
     "listener/keepalive.py",
     "listener/pipeline.py",
     "listener/shutdown.py",
--- a/tests/listener/test_input_scheduler.py
+++ b/tests/test_input_scheduler.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 
-from anisespool.listener.input_scheduler import TURN_NS, InputScheduler
+from anisespool.input_scheduler import TURN_NS, InputScheduler
 
 STEP_S = TURN_NS / 1e9 / 2
 
