End a rejected connection without an error if its client has closed it

Ending the output after an error response raises ENOTCONN if the client has closed and its kernel has answered the response with a reset.

The connection is aborted then.

--- a/anisespool/input_scheduler.py
+++ b/anisespool/input_scheduler.py
@@ -75,8 +75,10 @@
     def _run_turn(self) -> None:
         self._is_scheduled = False
         ends_at = time.monotonic_ns() + TURN_NS
-        if self._longer:  # at least one, however much new input there is
-            self._run(self._longer.popleft())
-        while (self._new or self._longer) and time.monotonic_ns() < ends_at:
-            self._run((self._new or self._longer).popleft())
-        self._schedule()
+        try:
+            if self._longer:  # at least one, however much new input there is
+                self._run(self._longer.popleft())
+            while (self._new or self._longer) and time.monotonic_ns() < ends_at:
+                self._run((self._new or self._longer).popleft())
+        finally:
+            self._schedule()
--- a/anisespool/listener/connection.py
+++ b/anisespool/listener/connection.py
@@ -23,7 +23,12 @@
     validate_request,
 )
 from anisespool.listener.timeouts import TimeoutAction
-from anisespool.listener.transport import PEER_CLOSED_EVENTS, encode_final_response, poll_now
+from anisespool.listener.transport import (
+    PEER_CLOSED_EVENTS,
+    encode_final_response,
+    end_output,
+    poll_now,
+)
 from anisespool.proxy.call import Call, FinalResponse
 
 MIN_QUEUE_WAIT_NS = 1_000_000  # a shorter wait in the pipeline is not subtracted from the client's timeout
@@ -113,7 +118,7 @@
         """Register the connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        self._reading = Reading(transport, self._listener.loop_delay)
+        self._reading = Reading(transport, self._listener.loop_delay, self._listener.may_read_late)
         transport.set_write_buffer_limits(high=0)  # so that `resume_writing` shows that all output is sent
         self._table.add(self)
 
@@ -206,7 +211,10 @@
         self._input.parse(self._reading.arrival_of)
         if self._input.take_expectation() and self._transport and not self._has_open_request:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        self._table.mark_receiving(self, self._input.partial_bytes)
+        if self._input.is_partial:
+            self._table.mark_receiving(self, self._input.partial_bytes)
+        else:
+            self._table.mark_received(self)
         if self._listener.budget.is_exceeded:
             self._table.relieve(self._listener.budget)
 
@@ -236,7 +244,7 @@
     def give_up_partial_request(self) -> None:
         """Reject the request that is being received, after the responses to those before it."""
         self._input.give_up_partial()
-        self._table.mark_receiving(self, 0)
+        self._table.mark_received(self)
         self._submit()
 
     def _cancel(self) -> None:
@@ -409,7 +417,7 @@
         self._table.mark_lingering(self)
         if self._transport:
             self._transport.write(encode_final_response(response, close=True))
-            self._transport.write_eof()
+            end_output(self._transport)
         self._update_held()
 
     def _report_rejection(self, response: FinalResponse, request: http1.Request | None) -> None:
--- a/anisespool/listener/transport.py
+++ b/anisespool/listener/transport.py
@@ -21,6 +21,14 @@
     return any(reported & events for _, reported in poll.poll(0))
 
 
+def end_output(transport: asyncio.Transport) -> None:
+    """End the output of a connection; abort it if its client has closed it and reset what was written."""
+    try:
+        transport.write_eof()
+    except OSError:
+        transport.abort()
+
+
 def encode_final_response(response: FinalResponse, close: bool) -> bytes:
     """Encode a response, with `Connection: close` if the connection closes after it."""
     return http1.encode_response(response.status, response.body, response.retry_after_s, close)
--- a/tests/listener/test_bad_clients.py
+++ b/tests/listener/test_bad_clients.py
@@ -12,9 +12,11 @@
 from anisespool.fakes.endpoint import Endpoint
 from anisespool.fakes.http1 import read_response
 from anisespool.listener import server, timeouts
+from anisespool.listener.server import Server
 from tests.harness.client import request_bytes, send_request
 from tests.harness.running_sidecar import running_sidecar
 from tests.harness.waiting import wait_until
+from tests.listener.harness import pause_reading
 from tests.proxy.harness import respond_after
 from tests.upstream.harness import never_respond
 
@@ -212,3 +214,19 @@
         for writer in opened:
             writer.transport.abort()
         assert statuses == [200] * 30
+
+
+async def test_the_rejection_of_a_client_whose_close_is_unread_ends_its_connection_alone(
+    tmp_path: Path, servers: list[Server]
+) -> None:
+    """Ending the output raised OSError, which ended the listener's sweep, or the process at a shutdown."""
+    async with Endpoint().serve() as endpoint, running_sidecar(tmp_path, endpoint) as sidecar:
+        _, writer = await asyncio.open_connection(*sidecar.address)
+        writer.write(HEAD)
+        await wait_until(lambda: bool(servers[0].connections) and not servers[0].connections[0].is_idle)
+        connection = pause_reading(servers[0])
+        writer.close()
+        await wait_until(lambda: connection.has_unread_input)  # what is written now is answered by a reset
+        connection.apply_timeouts(monotonic() + 60)
+        await wait_until(lambda: not servers[0].connections)
+        assert (await send_request(sidecar.address, request_bytes("look"))).status == 200
