Keep to the descriptors at a shutdown, and let a crowd beyond the limit make way sooner

The acceptor has a module of its own. While accepting was limited or input waits, the kernel is asked when a request arrived.

--- a/anisespool/fakes/discovery.py
+++ b/anisespool/fakes/discovery.py
@@ -79,7 +79,10 @@
     def publish(self, entry: dict[str, Any]) -> None:
         """Change one entry of the list, and send it to all watches."""
         self.revision += 1
-        self.members[entry["id"]] = entry
+        if entry["phase"] == "removed":
+            self.members.pop(entry["id"], None)
+        else:
+            self.members[entry["id"]] = entry
         self._send_all(member_list(self.revision, [entry], complete=False))
 
     def publish_all(self, members: list[dict[str, Any]]) -> None:
--- a/anisespool/listener/connection_table.py
+++ b/anisespool/listener/connection_table.py
@@ -17,7 +17,7 @@
 from anisespool.log import EventLimit, log_event
 
 # Connections above the limit, which are answered that there are too many, or are closing.
-MAX_EXCESS_CONNECTIONS = 16
+MAX_EXCESS_CONNECTIONS = 8
 
 
 class ConnectionTable:
@@ -32,7 +32,8 @@
         accepting: Number of accepted sockets whose connection has not been added yet.
         paused: Connections that are not being read because too much input is pipelined.
         active: Connections with an open request.
-        receiving: Connections with a large partial request, the one without input for longest first.
+        receiving: Connections with a partial request, the one without input for longest first.
+        receiving_large: Those of them whose partial request takes more than `SMALL_BYTES`, in the same order.
         lingering: Connections that wait for their client to read an error and close, the first one first.
         unsent: Connections with unsent output, the one that has had some for longest first.
     """
@@ -45,6 +46,7 @@
         self.paused: set[TrackedConnection] = set()
         self.active: set[TrackedConnection] = set()
         self.receiving: dict[TrackedConnection, None] = {}
+        self.receiving_large: dict[TrackedConnection, None] = {}
         self.lingering: dict[TrackedConnection, None] = {}
         self.unsent: dict[TrackedConnection, None] = {}
         self._close_limit = EventLimit()
@@ -95,7 +97,7 @@
     def discard(self, connection: TrackedConnection) -> None:
         """Remove a connection, if it is in the table."""
         self._leave_state(connection)
-        self.receiving.pop(connection, None)
+        self.mark_received(connection)
         self.unsent.pop(connection, None)
         self.lingering.pop(connection, None)
 
@@ -106,13 +108,19 @@
 
     def mark_receiving(self, connection: TrackedConnection, partial_bytes: int) -> None:
         """Note that a connection has just received a part of a request, of which it holds so many bytes."""
-        self.receiving.pop(connection, None)
+        self.mark_received(connection)
+        self.receiving[connection] = None
         if partial_bytes > SMALL_BYTES:
-            self.receiving[connection] = None
+            self.receiving_large[connection] = None
+
+    def mark_received(self, connection: TrackedConnection) -> None:
+        """Note that a connection has no partial request."""
+        self.receiving.pop(connection, None)
+        self.receiving_large.pop(connection, None)
 
     def mark_lingering(self, connection: TrackedConnection) -> None:
         """Note that a connection has an error as its last response, and its client has to close it."""
-        self.receiving.pop(connection, None)
+        self.mark_received(connection)
         self.lingering[connection] = None
 
     def relieve(self, budget: BufferBudget) -> None:
@@ -122,8 +130,8 @@
         without a pause has its request complete soon. Then connections are closed whose responses have not
         been read for longest.
         """
-        while budget.is_exceeded and self.receiving:
-            next(iter(self.receiving)).give_up_partial_request()
+        while budget.is_exceeded and self.receiving_large:
+            next(iter(self.receiving_large)).give_up_partial_request()
         while budget.is_exceeded and self.unsent:
             connection = next(iter(self.unsent))
             del self.unsent[connection]
@@ -160,20 +168,22 @@
         """Whether no further connection may be accepted until others have closed."""
         return len(self) >= self.max_connections + MAX_EXCESS_CONNECTIONS
 
-    def evict_if_full(self) -> None:
-        """If the connection limit is reached, end one connection so that the accepted one can be served."""
-        if not self.is_at_limit:
-            return
+    def evict(self) -> bool:
+        """Abort one connection so that another can be accepted; return whether there was one."""
         if connection := connection_to_evict(self.lingering, self._new, self._idle, time.monotonic()):
             self.discard(connection)
             connection.abort(CloseReason.EVICTED)
-        elif self.receiving:
-            next(iter(self.receiving)).give_up_partial_request()
+        return connection is not None
+
+    def give_up_partial_requests(self, count: int) -> None:
+        """Reject at most `count` partial requests, whose connections can be evicted soon."""
+        for connection in list(islice(self.receiving, count)):
+            connection.give_up_partial_request()
 
     def close_silent(self, now_s: float) -> None:
         """Close connections without a request when they use up the descriptors of a client process.
 
-        Such a client could not open another connection, so `evict_if_full` would never be called.
+        Such a client could not open another connection, so `evict` would never be called.
         """
         silent = silent_connections(self._new, now_s)
         excess = max(0, int(len(self) - self.keep_alive_policy.close_silent_above))
--- a/anisespool/listener/eviction.py
+++ b/anisespool/listener/eviction.py
@@ -12,7 +12,7 @@
 from anisespool.listener.tracked_connection import TrackedConnection
 
 NEW_CONNECTION_GRACE_S = 0.2  # a client that opens a connection to use it sends a request within this time
-LINGER_GRACE_S = 0.2  # time to read an error, after which its connection is closed for another
+LINGER_GRACE_S = 0.05  # time to read an error, after which its connection is closed for another
 MAX_CANDIDATE_CONNECTIONS = 16  # limit on each group of candidates, to bound the time for one accept
 
 
--- a/anisespool/listener/listener_context.py
+++ b/anisespool/listener/listener_context.py
@@ -49,3 +49,6 @@
     budget: BufferBudget
     scheduler: InputScheduler
     read_buffer: memoryview
+
+    def may_read_late(self, now_ns: int) -> bool:
+        """Return whether input that is read now may have arrived a while ago, as others came first."""
--- a/anisespool/listener/reading.py
+++ b/anisespool/listener/reading.py
@@ -5,6 +5,7 @@
 import asyncio
 import select
 import time
+from collections.abc import Callable
 
 from anisespool import tcp
 from anisespool.listener.input_arrival import BACKLOG_READ_NS, InputArrival
@@ -21,11 +22,24 @@
         is_paused: Whether reading is paused by `update`.
     """
 
-    __slots__ = ("_arrival", "_full_read_at", "_loop_delay", "_transport", "is_paused")
+    __slots__ = ("_arrival", "_full_read_at", "_loop_delay", "_may_read_late", "_transport", "is_paused")
 
-    def __init__(self, transport: asyncio.Transport, loop_delay: LoopDelay) -> None:
-        """Begin to read."""
+    def __init__(
+        self,
+        transport: asyncio.Transport,
+        loop_delay: LoopDelay,
+        may_read_late: Callable[[int], bool],
+    ) -> None:
+        """Begin to read.
+
+        Args:
+            transport: The transport of the connection.
+            loop_delay: The delay of the event loop.
+            may_read_late: Returns whether input that is read at a time (monotonic ns) may have arrived
+                a while ago though the event loop was on time.
+        """
         self.is_paused = False
+        self._may_read_late = may_read_late
         self._transport = transport
         self._loop_delay = loop_delay
         self._arrival: InputArrival | None = None  # set by the first pause
@@ -76,10 +90,13 @@
             is_last: Whether nothing else follows the request, so that it ends with the last input.
         """
         now_ns = time.monotonic_ns()
-        if self._loop_delay.earliest_input_at(now_ns) == now_ns:
+        is_on_time = self._loop_delay.earliest_input_at(now_ns) == now_ns
+        if is_on_time and not self._may_read_late(now_ns):
             return read_at
         sock = self._transport.get_extra_info("socket")
         waited_ns = tcp.ns_since_last_input(sock) if is_last else None
+        if is_on_time:
+            return min(read_at, now_ns - (waited_ns or 0))
         return min(read_at, self._loop_delay.input_arrived_at(now_ns, waited_ns))
 
     def note_unread_input(self) -> None:
--- a/anisespool/listener/server.py
+++ b/anisespool/listener/server.py
@@ -1,9 +1,8 @@
-"""The listener: binds the address, accepts client connections and applies their timeouts."""
+"""The listener: what its client connections share, and the periodic check of their timeouts."""
 
 from __future__ import annotations
 
 import asyncio
-import socket
 import time
 from collections.abc import Callable
 
@@ -11,6 +10,7 @@
 from anisespool.buffer_budget import BufferBudget
 from anisespool.config.platform import Address, NameIndex
 from anisespool.input_scheduler import InputScheduler
+from anisespool.listener.acceptor import Acceptor
 from anisespool.listener.connection import ClientConnection
 from anisespool.listener.connection_table import ConnectionTable
 from anisespool.listener.keepalive import KeepAlivePolicy
@@ -21,20 +21,13 @@
 from anisespool.loop_delay import CHECK_INTERVAL_NS, LoopDelay
 from anisespool.proxy.proxy import Proxy
 
-BACKLOG_CONNECTIONS = 512  # limit on connections that wait in the kernel, which drops further ones
-# Limits for each iteration of the event loop: on accepted connections, and on those of them that were
-# accepted while others had to be closed for them, whose descriptors are free only in the next iteration.
-MAX_ACCEPTED_CONNECTIONS = 64
-MAX_EVICTING_CONNECTIONS = 8
-ACCEPT_RETRY_S = 0.05  # delay before accepting again after an error such as a lack of descriptors
-FULL_RETRY_S = 0.02  # delay before accepting again at the limit on connections
 READ_BYTES = 64 * 1024
 TURNS_TO_READ = 3  # turns of the event loop after which it has read what arrived before the first one
 SWEEP_INTERVAL_S = CHECK_INTERVAL_NS / 1e9
 
 
 class Server:
-    """Accepts connections without asyncio's server, so that closing the listener resets none in the backlog.
+    """All client connections of a sidecar.
 
     Attributes:
         proxy: Handles valid requests.
@@ -90,8 +83,7 @@
         self.read_buffer = memoryview(bytearray(READ_BYTES))
         self._on_sweep = on_sweep
         self._delay_limit = EventLimit()
-        self._listening_socket: socket.socket | None = None
-        self._accept_tasks: set[asyncio.Task[None]] = set()
+        self._acceptor = Acceptor(self.table, lambda: ClientConnection(self, self.table))
 
     @property
     def connections(self) -> list[TrackedConnection]:
@@ -104,14 +96,7 @@
         Raises:
             OSError: The address is in use or not available.
         """
-        # asyncio sets TCP_NODELAY on accepted sockets only if the protocol is explicit. Without TCP_NODELAY,
-        # the kernel would delay a response that follows another one, and a reset would discard it.
-        self._listening_socket = listening_socket = socket.socket(
-            socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
-        )
-        listening_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listening_socket.setblocking(False)
-        listening_socket.bind(address)
+        self._acceptor.bind(address)
 
     def listen(self) -> Address:
         """Start accepting connections, and return the bound address.
@@ -119,10 +104,15 @@
         Raises:
             OSError: Another process listens on the address.
         """
-        assert self._listening_socket
-        self._listening_socket.listen(BACKLOG_CONNECTIONS)
-        self._start_accepting()
-        return Address(*self._listening_socket.getsockname())
+        return self._acceptor.listen()
+
+    async def close_listener(self, timeout_s: float) -> None:
+        """Accept the connections in the backlog, as far as that takes no longer, then close the listener."""
+        await self._acceptor.close(timeout_s)
+
+    def may_read_late(self, now_ns: int) -> bool:
+        """Return whether input that is read now may have arrived a while ago, as others came first."""
+        return self.scheduler.is_busy or self._acceptor.is_behind(now_ns)
 
     async def sweep(self) -> None:
         """Close connections after timeouts and, if they are paused, after disconnects. Runs until cancelled.
@@ -154,72 +144,3 @@
         if delay_ns and (count := self._delay_limit.count_to_log("")):
             open_requests = len(self.table.active)
             log_event("event_loop_delayed", delay_ms=delay_ns // 1_000_000, open=open_requests, count=count)
-
-    async def close_listener(self) -> None:
-        """Accept the connections in the backlog, then close the listening socket."""
-        if self._listening_socket:
-            asyncio.get_running_loop().remove_reader(self._listening_socket)
-            while self._accept_one():  # closing would reset connections left in the backlog
-                pass
-            self._listening_socket.close()
-            self._listening_socket = None
-        if self._accept_tasks:
-            await asyncio.wait(self._accept_tasks)
-
-    def _start_accepting(self) -> None:
-        if self._listening_socket:
-            asyncio.get_running_loop().add_reader(self._listening_socket, self._accept)
-
-    def _accept(self) -> None:
-        """Accept the connections that wait, up to the limits for one iteration."""
-        evicting = 0
-        for _ in range(MAX_ACCEPTED_CONNECTIONS):
-            if self.table.is_full:
-                self._make_room()
-                return
-            evicting += self.table.is_at_limit
-            if evicting > MAX_EVICTING_CONNECTIONS or not self._accept_one():
-                return
-
-    def _make_room(self) -> None:
-        """End some connections, and accept others once their descriptors are free."""
-        for _ in range(MAX_EVICTING_CONNECTIONS):
-            self.table.evict_if_full()
-        self._pause_accepting(FULL_RETRY_S)
-
-    def _pause_accepting(self, pause_s: float) -> None:
-        """Accept no connection for a while. Those that clients open meanwhile wait in the kernel."""
-        if self._listening_socket:
-            loop = asyncio.get_running_loop()
-            loop.remove_reader(self._listening_socket)
-            loop.call_later(pause_s, self._start_accepting)
-
-    def _accept_one(self) -> bool:
-        """Accept one connection, and return whether there may be more."""
-        loop = asyncio.get_running_loop()
-        if not self._listening_socket:
-            return False
-        try:
-            client_socket, _ = self._listening_socket.accept()
-        except (BlockingIOError, InterruptedError, ConnectionError):
-            return False
-        except OSError as error:
-            # Without a free descriptor the listening socket stays readable, and the event loop would spin.
-            log_event("listener_accept_failed", error=error, retry_s=ACCEPT_RETRY_S)
-            self._pause_accepting(ACCEPT_RETRY_S)
-            return False
-        self.table.evict_if_full()
-        client_socket.setblocking(False)
-        self.table.accepting += 1
-        task = loop.create_task(self._create_connection(client_socket))
-        self._accept_tasks.add(task)
-        task.add_done_callback(self._accept_tasks.discard)
-        return True
-
-    async def _create_connection(self, client_socket: socket.socket) -> None:
-        """Create the `ClientConnection` of an accepted socket."""
-        loop = asyncio.get_running_loop()
-        try:
-            await loop.connect_accepted_socket(lambda: ClientConnection(self, self.table), client_socket)
-        except OSError:  # the client may have reset the connection already
-            self.table.accepting -= 1
--- a/anisespool/listener/shutdown.py
+++ b/anisespool/listener/shutdown.py
@@ -11,6 +11,7 @@
 
 PARTIAL_REQUEST_GRACE_S = 1.0  # time to receive the rest of a request after the listener closes
 POLL_INTERVAL_S = 0.01
+BACKLOG_SHARE = 0.25  # of the time that is left, to accept what waits before the listener closes
 FLUSH_RESERVE_S = 0.05  # time from the proxy's last response to the end of the shutdown (proxy/deadlines.py)
 
 
@@ -29,7 +30,7 @@
     # Clients would keep using an idle connection. If it closes now, they can still reconnect.
     server.table.close_idle(CloseReason.SHUTDOWN)
     await asyncio.sleep(min(accept_s, timeout_s))
-    await server.close_listener()
+    await server.close_listener(max(0.0, deadline_s - loop.time()) * BACKLOG_SHARE)
     await _wait_for_connections(server, deadline_s)
     server.table.close_idle(CloseReason.SHUTDOWN)
     # The process may write its records for some time yet. A request completed meanwhile could be executed
