Soak: hostile clients, reused addresses and repeated ids, judged by memory and descriptors

A run now has 64 MB and 128, 256 or 1,024 descriptors; six in ten have 100 to 650 clients that send halves, tiny chunks, short fields or large requests, or one to three that flood; endpoints are listed with a draining successor at their address; clients that left send their id again.

--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -6,7 +6,7 @@
 
 from tests.soak.judge import judge
 from tests.soak.play import play
-from tests.soak.records import Arrival, ClientEnd, DrainNotice, RunRecord, SentRequest
+from tests.soak.records import Arrival, ClientEnd, DrainNotice, RunRecord, SentRequest, Usage
 
 SEEDS = (101, 102, 103)
 
@@ -31,8 +31,16 @@
     return request
 
 
-def arrived(trace_id: str = "a", at_s: float = 10.01, told_s: float = 0.5, endpoint: int = 0) -> Arrival:
-    return Arrival(trace_id, f"task-{trace_id}", endpoint, 0, at_s, told_s, executed=True)
+def arrived(
+    trace_id: str = "a",
+    at_s: float = 10.01,
+    told_s: float = 0.5,
+    endpoint: int = 0,
+    is_repeat: bool = False,
+) -> Arrival:
+    return Arrival(
+        trace_id, f"task-{trace_id}", endpoint, 0, at_s, told_s, executed=True, is_repeat=is_repeat
+    )
 
 
 @pytest.mark.parametrize(
@@ -54,6 +62,14 @@
             RunRecord([sent()], [arrived(at_s=10.05)], [DrainNotice(0, 9.7, frozenset({0}))]),
             "sent to endpoint 0",
         ),
+        (RunRecord(usage=[Usage(0, 64, 256, memory_mb=64.0, descriptors=256)]), None),
+        (RunRecord(usage=[Usage(0, 64, 256, memory_mb=64.1)]), "sidecar 0 used 64.1 MB"),
+        (RunRecord(usage=[Usage(1, 64, 256, descriptors=257)]), "sidecar 1 used 257 descriptors"),
+        (
+            RunRecord([sent(end=ClientEnd.LEFT)], [arrived(), arrived(at_s=10.3, is_repeat=True)]),
+            "executed twice",
+        ),
+        (RunRecord([sent(end=ClientEnd.LEFT)], [arrived(at_s=10.3, is_repeat=True)]), None),
     ],
 )
 def test_the_judge_names_each_broken_rule(record: RunRecord, violation: str | None) -> None:
--- a/tests/harness/hostile_clients.py
+++ b/tests/harness/hostile_clients.py
@@ -88,20 +88,19 @@
     return b"".join(b"GET /%d HTTP/1.1\r\nX%d: 1\r\n\r\n" % (n, n) for n in range(FLOOD_REQUESTS))
 
 
-INPUTS = {
-    make_input.__name__: make_input
-    for make_input in (
-        half_of_a_large_body,
-        body_in_tiny_chunks,
-        head_of_short_fields,
-        oversized_head_of_short_fields,
-        whole_large_request,
-        health_checks,
-        small_requests,
-        requests_with_many_fields,
-        unknown_classes,
-    )
-}
+_CROWD_INPUTS = (
+    half_of_a_large_body,
+    body_in_tiny_chunks,
+    head_of_short_fields,
+    oversized_head_of_short_fields,
+    whole_large_request,
+)
+_FLOOD_INPUTS = (health_checks, small_requests, requests_with_many_fields, unknown_classes)
+INPUTS = {make_input.__name__: make_input for make_input in _CROWD_INPUTS + _FLOOD_INPUTS}
+CROWD_INPUTS = tuple(make_input.__name__ for make_input in _CROWD_INPUTS)
+"""What each client of a crowd sends once."""
+FLOOD_INPUTS = tuple(make_input.__name__ for make_input in _FLOOD_INPUTS)
+"""What a client sends again and again."""
 
 
 class Manner(StrEnum):
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -5,16 +5,10 @@
 import argparse
 import json
 import multiprocessing
-import signal
 import sys
 from dataclasses import asdict
 
-from tests.soak.play import play
-
-
-def exit_on_sigterm() -> None:
-    """Let a run that is broken off end its sidecars, whose discovery ports others would be given."""
-    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(1))
+from tests.soak.play import exit_on_sigterm, play
 
 
 def main() -> int:
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -7,11 +7,13 @@
 import time
 from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import replace
 from typing import Any
 
 from anisespool.config.platform import Address
 from anisespool.fakes import http1
 from anisespool.fakes.server import Connection, reset
+from tests.soak.endpoint import REPEAT_MARK
 from tests.soak.records import ClientEnd, RunRecord, SentRequest
 
 LEAVING_SHARE = 0.2
@@ -20,6 +22,8 @@
 SHORT_WAIT_S = (0.03, 0.1)
 MAX_LATE_ANSWER_S = 0.5
 MAX_RETRIES = 2
+REPEATING_SHARE = 0.3  # of those that have left
+REPEAT_WAIT_S = 0.5
 
 
 def _close(writer: asyncio.StreamWriter) -> None:
@@ -72,6 +76,8 @@
             request = self._draw_request(row, task, f"t{self._sidecar}-{self._count}-{retry}")
             self._count += 1
             await self._send(request, row)
+            if request.end is ClientEnd.LEFT and self._draws.random() < REPEATING_SHARE:
+                await self._send_again(request, row)
             if request.status == 200 or request.end is ClientEnd.LEFT:
                 return
             is_harmless = request.status == 503 or request.end is ClientEnd.NOT_CONNECTED
@@ -115,6 +121,19 @@
             request.body = response.body
             self._keep(connection, response)
 
+    async def _send_again(self, request: SentRequest, row: dict[str, Any]) -> None:
+        """Send the same id once more on a new connection, as if the request had been lost."""
+        await asyncio.sleep(self._draws.uniform(0.0, 0.1))
+        repeat = replace(request, task=f"{request.task}{REPEAT_MARK}again", wait_s=REPEAT_WAIT_S)
+        with suppress(OSError, EOFError, TimeoutError):
+            reader, writer = await asyncio.open_connection(*self._address)
+            try:
+                writer.write(_encode(repeat, row))
+                async with asyncio.timeout(REPEAT_WAIT_S):
+                    await http1.read_response(reader)
+            finally:
+                writer.close()
+
     def _leave(self, connection: Connection) -> None:
         disconnect = self._draws.choice(DISCONNECTS)
         with suppress(OSError):
@@ -149,7 +168,7 @@
         f"X-Expires-In-Ms: {round(request.wait_s * 1000)}",
     ]
     if row["effect"] == "by_key":
-        lines.append(f"Idempotency-Key: {request.task}")
+        lines.append(f"Idempotency-Key: {request.task.partition(REPEAT_MARK)[0]}")
     if not is_safe:
         lines.append("Content-Length: 4")
     return "\r\n".join([*lines, "", ""]).encode() + (b"" if is_safe else b"body")
--- a/tests/soak/endpoint.py
+++ b/tests/soak/endpoint.py
@@ -12,6 +12,10 @@
 from tests.soak.records import Arrival, RunRecord
 
 MEAN_SERVICE_S = 0.015
+REPEAT_MARK = "~"
+"""Separates a task from the mark of an id that its client sends once more."""
+HOSTILE_ID = b"hostile-"
+"""Start of the ids of hostile clients, whose requests are not judged."""
 
 
 class SoakEndpoint(FakeServer):
@@ -52,7 +56,8 @@
 
     async def _answer(self, request: http1.Request, writer: asyncio.StreamWriter) -> None:
         is_rejected = self._draws.random() < self._fault_share
-        self._record.arrivals.append(self._arrival(request, executed=not is_rejected))
+        if not request.headers[b"x-trace-id"].startswith(HOSTILE_ID):
+            self._record.arrivals.append(self._arrival(request, executed=not is_rejected))
         if is_rejected:
             writer.write(http1.encode_response(503, headers=b"X-Never-Ran: 1\r\n"))
             return
@@ -69,6 +74,7 @@
 
     def _arrival(self, request: http1.Request, executed: bool) -> Arrival:
         _, _, sidecar, task = request.target.decode().split("/")
+        task, _, repeat = task.partition(REPEAT_MARK)
         return Arrival(
             trace_id=request.headers[b"x-trace-id"].decode(),
             task=task,
@@ -77,4 +83,5 @@
             at_s=time.monotonic(),
             told_s=int(request.headers[b"x-expires-in-ms"]) / 1000,
             executed=executed,
+            is_repeat=bool(repeat),
         )
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -26,8 +26,20 @@
         arrivals[arrival.trace_id].append(arrival)
     violations = _lost(record, arrivals) + _wrong_answers(record)
     for arrival in record.arrivals:
-        violations += _arrival_violations(arrival, sent[arrival.trace_id])
-    return violations + _executed_twice(record, sent) + _sent_to_draining(record)
+        if not arrival.is_repeat:
+            violations += _arrival_violations(arrival, sent[arrival.trace_id])
+    violations += _executed_twice(record, sent) + _sent_to_draining(record)
+    return violations + _over_limits(record)
+
+
+def _over_limits(record: RunRecord) -> list[str]:
+    violations = []
+    for usage in record.usage:
+        if usage.memory_mb > usage.max_memory_mb:
+            violations.append(f"sidecar {usage.sidecar} used {usage.memory_mb:.1f} MB")
+        if usage.descriptors > usage.max_descriptors:
+            violations.append(f"sidecar {usage.sidecar} used {usage.descriptors} descriptors")
+    return violations
 
 
 def _lost(record: RunRecord, arrivals: dict[str, list[Arrival]]) -> list[str]:
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -8,12 +8,14 @@
 from typing import Any
 
 from anisespool.fakes import platform
+from tests.harness.hostile_clients import CROWD_INPUTS, FLOOD_INPUTS, Attack, Manner
 
 RUN_S = 7.0
 SIDECARS = 2
 ENDPOINTS = 6
 MAX_HELD_UP_S = 0.45  # the rules allow an answer 0.5 s after its time
 DEDUP_WINDOW_S = 1.5
+MEMORY_MB = 64  # the least that the project's pages name (docs/capacity.md)
 SIGKILL_MARGIN_S = 0.7
 MAX_SIGKILL_DEADLINE_S = 3.0
 
@@ -37,6 +39,10 @@
     """Leaves an endpoint's requests without an answer for a while."""
     WATCH_RESET = "watch_reset"
     """Resets the open watches on the endpoint list."""
+    HOSTILE_CLIENTS = "hostile_clients"
+    """Lets clients send to a sidecar for a while what costs it memory or processor time."""
+    ADDRESS_REUSE = "address_reuse"
+    """Lists a new, draining process at the address of an endpoint that stays listed as ready."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +53,8 @@
     for_s: float
     kind: FaultKind
     target: int
+    attack: Attack | None = None
+    """What hostile clients do; None for other faults."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +66,7 @@
         rate_per_s: Requests for each sidecar.
         crowd: Number of idle connections that are opened to each sidecar, and opened again when they close.
         sockets: The limit on descriptors of a sidecar.
+        memory_mb: The limit on its resident memory.
         endpoint_fault_share: Share of the requests that an endpoint rejects, fails or resets.
         faults: In order of time.
     """
@@ -67,6 +76,7 @@
     rate_per_s: float
     crowd: int
     sockets: int
+    memory_mb: int
     endpoint_fault_share: float
     faults: tuple[Fault, ...]
 
@@ -86,7 +96,8 @@
         _draw_settings(draws),
         rate_per_s=draws.uniform(30, 70),
         crowd=120 if has_crowd else 0,
-        sockets=128 if has_crowd else 256,
+        sockets=128 if has_crowd else draws.choice((256, 1024)),
+        memory_mb=MEMORY_MB,
         endpoint_fault_share=draws.choice((0.0, 0.05, 0.2)),
         faults=tuple(sorted(_draw_faults(draws), key=lambda fault: fault.at_s)),
     )
@@ -125,9 +136,28 @@
     if draws.random() < 0.4:
         at_s, for_s = draws.uniform(0.5, RUN_S - 2), draws.uniform(0.3, 1.0)
         faults.append(Fault(at_s, for_s, FaultKind.STARVE, draws.randrange(SIDECARS)))
+    if draws.random() < 0.6:
+        faults.append(_draw_attack(draws))
+    for _ in range(draws.randrange(0, 3)):
+        at_s = draws.uniform(0.5, RUN_S - 2)
+        faults.append(
+            Fault(at_s, draws.uniform(0.6, 1.2), FaultKind.ADDRESS_REUSE, draws.randrange(ENDPOINTS))
+        )
     return faults
 
 
+def _draw_attack(draws: random.Random) -> Fault:
+    is_crowd = draws.random() < 0.6
+    if is_crowd:
+        manner = draws.choice((Manner.ONCE, Manner.ONCE, Manner.SLOWLY))
+        attack = Attack(draws.choice(CROWD_INPUTS), manner, draws.randrange(100, 650))
+    else:
+        manner = draws.choice((Manner.AT_FULL_SPEED, Manner.WITHOUT_READING))
+        attack = Attack(draws.choice(FLOOD_INPUTS), manner, draws.randrange(1, 4))
+    at_s, for_s = draws.uniform(0.3, RUN_S - 3), draws.uniform(0.8, 2.5)
+    return Fault(at_s, for_s, FaultKind.HOSTILE_CLIENTS, draws.randrange(SIDECARS), attack)
+
+
 def _draw_hold_ups(draws: random.Random) -> list[Fault]:
     """Draw hold-ups of each sidecar, often together with a drain that is published during one."""
     faults = []
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import signal
+import sys
 import tempfile
 from pathlib import Path
 
@@ -21,3 +23,8 @@
         if not (result.is_broken and result.is_void):
             break
     return result
+
+
+def exit_on_sigterm() -> None:
+    """Let a run that is broken off end its sidecars, whose discovery ports others would be given."""
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(1))
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -50,6 +50,8 @@
     at_s: float
     told_s: float
     executed: bool
+    is_repeat: bool = False
+    """Whether the client sent the id once more after it had left."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,12 +63,23 @@
     sidecars: frozenset[int]
 
 
+@dataclass(slots=True)
+class Usage:
+    """The most that one process of a sidecar used, and its limits."""
+
+    sidecar: int
+    max_memory_mb: float
+    max_descriptors: int
+    memory_mb: float = 0.0
+    descriptors: int = 0
+
+
 @dataclass(slots=True)
 class RunRecord:
     """All records of a run.
 
     Attributes:
-        kills_s: For each sidecar the times of its SIGKILL.
+        usage: What each process used, also those that have ended.
         stalls_s: Times at which the event loop of the run itself was late, which proves nothing of sidecars.
     """
 
@@ -74,5 +87,5 @@
     arrivals: list[Arrival] = field(default_factory=list)
     drains: list[DrainNotice] = field(default_factory=list)
     drain_ends: list[DrainNotice] = field(default_factory=list)
-    kills_s: dict[int, list[float]] = field(default_factory=dict)
+    usage: list[Usage] = field(default_factory=list)
     stalls_s: list[float] = field(default_factory=list)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -16,14 +16,17 @@
 from anisespool.fakes.discovery import DiscoveryService
 from anisespool.fakes.server import Connection, reset
 from tests.harness.client import wait_until_health
+from tests.harness.hostile_clients import hostile_clients
+from tests.harness.process_resources import descriptor_count, peak_memory_mb
 from tests.soak import plan as plans
 from tests.soak.clients import SoakClient
 from tests.soak.endpoint import SoakEndpoint
 from tests.soak.judge import judge
 from tests.soak.plan import Fault, Plan
-from tests.soak.records import DrainNotice, RunRecord
+from tests.soak.records import ClientEnd, DrainNotice, RunRecord, Usage
 
 STALL_CHECK_S = 0.01
+MEASURE_S = 0.05
 MAX_STALL_S = 0.03  # a longer delay of the run's own event loop makes it void
 CROWD_PAUSE_S = 0.2
 STARVED_S = 0.03
@@ -41,6 +44,9 @@
     requests: int
     answered: int
     served: int
+    slowest_answer_s: float
+    """The longest time to an answer, from the first byte of its request."""
+    usage: list[Usage]
     is_void: bool
     """Whether the run's own event loop was late, so that a violation proves nothing."""
     crashes: list[str]
@@ -114,6 +120,10 @@
             requests=len(requests),
             answered=sum(bool(request.status) for request in requests),
             served=sum(request.status == 200 for request in requests),
+            slowest_answer_s=max(
+                request.ended_s - request.sent_s for request in requests if request.end is ClientEnd.ANSWERED
+            ),
+            usage=self._record.usage,
             is_void=bool(self._record.stalls_s),
             crashes=self._crashes,
         )
@@ -133,6 +143,7 @@
             listen,
             f"n{number}",
             self._plan.sockets,
+            self._plan.memory_mb,
         )
         sidecar = Sidecar(number, Address.parse(listen), env, discovery, folder / "log")
         self._sidecars.append(sidecar)
@@ -143,6 +154,7 @@
     async def _play_started(self) -> None:
         start_s = time.monotonic()
         watching = asyncio.create_task(self._watch_stalls())
+        measuring = [asyncio.create_task(self._measure(sidecar)) for sidecar in self._sidecars]
         crowds = [asyncio.create_task(self._crowd(sidecar)) for sidecar in self._sidecars]
         classes = self._plan.settings["request-classes"]
         clients = [
@@ -152,9 +164,10 @@
         until_s = start_s + plans.RUN_S
         faults = [asyncio.create_task(self._inject(fault, start_s)) for fault in self._plan.faults]
         await asyncio.gather(*(client.run(self._plan.rate_per_s, until_s) for client in clients), *faults)
-        for task in (watching, *crowds):
+        background = (watching, *measuring, *crowds)
+        for task in background:
             task.cancel()
-        await asyncio.gather(watching, *crowds, return_exceptions=True)
+        await asyncio.gather(*background, return_exceptions=True)
         for sidecar in self._sidecars:
             if sidecar.process and sidecar.process.returncode is not None:
                 self._crashes.append(f"sidecar {sidecar.number}: {sidecar.process.returncode}")
@@ -170,6 +183,17 @@
             if time.monotonic() - due_s > MAX_STALL_S:
                 self._record.stalls_s.append(time.monotonic())
 
+    async def _measure(self, sidecar: Sidecar) -> None:
+        """Note the most that the sidecar's processes use."""
+        usage = Usage(sidecar.number, self._plan.memory_mb, self._plan.sockets)
+        self._record.usage.append(usage)
+        while True:
+            await asyncio.sleep(MEASURE_S)
+            if sidecar.process and sidecar.process.returncode is None:
+                with suppress(OSError, ValueError):  # the process has just ended
+                    usage.memory_mb = max(usage.memory_mb, peak_memory_mb(sidecar.process.pid))
+                    usage.descriptors = max(usage.descriptors, descriptor_count(sidecar.process.pid))
+
     async def _crowd(self, sidecar: Sidecar) -> None:
         """Keep idle connections open, which fill the sidecar's descriptors."""
         writers: list[asyncio.StreamWriter] = []
@@ -214,11 +238,14 @@
         self._draining.discard(endpoint)
 
     def _publish(self, endpoint: int, phase: str) -> DrainNotice:
+        return self._publish_entry(endpoint, self._member(endpoint, phase))
+
+    def _publish_entry(self, endpoint: int, entry: dict[str, object]) -> DrainNotice:
         """Send a change to all watches, and note which sidecars have one."""
         watching = frozenset(sidecar.number for sidecar in self._sidecars if _open_watches(sidecar))
         at_s = time.monotonic()
         for sidecar in self._sidecars:
-            sidecar.discovery.publish(self._member(endpoint, phase))
+            sidecar.discovery.publish(entry)
         return DrainNotice(endpoint, at_s, watching)
 
     async def _restart(self, fault: Fault) -> None:
@@ -255,6 +282,25 @@
         await asyncio.sleep(fault.for_s)
         endpoint.hangs = False
 
+    async def _hostile_clients(self, fault: Fault) -> None:
+        assert fault.attack
+        async with hostile_clients(self._sidecars[fault.target].address, fault.attack):
+            await asyncio.sleep(fault.for_s)
+
+    async def _address_reuse(self, fault: Fault) -> None:
+        endpoint = fault.target
+        if endpoint in self._draining or len(self._draining) >= plans.ENDPOINTS // 2:
+            return
+        self._draining.add(endpoint)
+        started_ms = int(time.time() * 1000)
+        address = self._endpoints[endpoint].address
+        successor = platform.member(f"s-{endpoint}-next", address, "draining", up_since_ms=started_ms)
+        self._record.drains.append(self._publish_entry(endpoint, successor))
+        await asyncio.sleep(fault.for_s)
+        removed = platform.member(f"s-{endpoint}-next", address, "removed")
+        self._record.drain_ends.append(self._publish_entry(endpoint, removed))
+        self._draining.discard(endpoint)
+
     async def _watch_reset(self, fault: Fault) -> None:
         for connection in _open_watches(self._sidecars[fault.target % plans.SIDECARS]):
             reset(connection.writer)
