Read a connection on only when its input has been handled, and give long requests their turn

Now it pauses as soon as input waits.

With it: a partial request that is given up keeps its connection until its 503 is written, and one with a part of a request is no more evicted without an answer; long requests got one step of 4 KiB in each turn behind 155 connections, so that large honest ones were never answered: steps are limited by time (0.2 ms), and new and longer input alternate.

--- a/anisespool/input_scheduler.py
+++ b/anisespool/input_scheduler.py
@@ -25,7 +25,7 @@
 
 
 class InputScheduler:
-    """Runs the steps of all connections in turn: first those that have just been read, then the others."""
+    """Runs the steps of all connections in turn, as many of new input as of input that takes longer."""
 
     __slots__ = ("_backlog_ns", "_is_scheduled", "_ended_at", "_longer", "_new")
 
@@ -60,6 +60,10 @@
             self._run(handler)
         self._schedule()
 
+    def _run_next(self, handlers: deque[InputHandler]) -> None:
+        if handlers:
+            self._run(handlers.popleft())
+
     def _run(self, handler: InputHandler) -> None:
         started_at = time.monotonic_ns()
         if handler.handle_input():
@@ -76,9 +80,8 @@
         self._is_scheduled = False
         ends_at = time.monotonic_ns() + TURN_NS
         try:
-            if self._longer:  # at least one, however much new input there is
-                self._run(self._longer.popleft())
             while (self._new or self._longer) and time.monotonic_ns() < ends_at:
-                self._run((self._new or self._longer).popleft())
+                self._run_next(self._longer)
+                self._run_next(self._new)
         finally:
             self._schedule()
--- a/anisespool/listener/connection.py
+++ b/anisespool/listener/connection.py
@@ -29,6 +29,7 @@
 
 MIN_QUEUE_WAIT_NS = 1_000_000  # a shorter wait in the pipeline is not subtracted from the client's timeout
 TIGHT_READ_BYTES = 16 * 1024  # limit on a read while connections hold much in memory
+STEP_NS = 200_000  # time to parse in one step; the body of a large request takes less
 MAX_STARTED_REQUESTS = 16  # limit on the requests that are started in one step
 MAX_UNREAD_WAIT_NS = 250_000_000  # a request is rejected if its client is still sending more after this time
 MAX_UNSENT_BYTES = http1.MAX_RESPONSE_BODY_BYTES  # no request is started while more output is unsent
@@ -76,14 +77,15 @@
         return not (self._closing or self._has_open_request or self._input)
 
     @property
-    def has_waiting_request(self) -> bool:
-        """Whether a complete request may have been read that has not been started."""
-        return bool(self._input.pipeline) or not self._input.is_parsed
+    def has_read_input(self) -> bool:
+        """Whether part of a request, or one that has not been started, has been read."""
+        return bool(self._input)
 
     @property
     def has_pending_response(self) -> bool:
         """Whether a request waits for its response, or a response may not have been sent completely."""
-        return self._closing or self._has_open_request or self.has_waiting_request
+        has_waiting_request = bool(self._input.pipeline) or not self._input.is_parsed
+        return self._closing or self._has_open_request or has_waiting_request
 
     @property
     def has_unread_input(self) -> bool:
@@ -137,6 +139,7 @@
         self._note_unread_input(now_ns, is_full=nbytes == self._read_limit)
         self._input.add(bytes(self._listener.read_buffer[:nbytes]), self._reading.read(now_ns))
         self._submit()
+        self._update_reading()  # pauses if the input waits for its turn, as the next read would replace it
 
     def pause_writing(self) -> None:
         """Note that the client has not read all responses."""
@@ -188,7 +191,8 @@
 
     def handle_input(self) -> bool:
         """Parse some of the input and start some requests; return whether there is more to do."""
-        if not self._input.is_parsed:
+        ends_at = time.monotonic_ns() + STEP_NS
+        while not self._input.is_parsed and time.monotonic_ns() < ends_at:
             self._parse()
         self._start_requests()
         has_more = not self._input.is_parsed or self._can_start
--- a/anisespool/listener/eviction.py
+++ b/anisespool/listener/eviction.py
@@ -27,7 +27,7 @@
     Hundreds of connections without a request must not displace those with one. Therefore the first one is
     selected whose client has had time to read an error and has not closed, then the oldest new connections,
     then those that have been idle longest, and recently opened ones only as a last resort. Connections with a
-    request that is unread or waits are skipped.
+    request, or a part of one, that is unread or waits are skipped.
 
     Args:
         lingering: Connections with an error as their last response, the first one first.
@@ -50,7 +50,7 @@
 
 
 def _may_have_request(connection: TrackedConnection) -> bool:
-    return connection.has_waiting_request or connection.has_unread_input
+    return connection.has_read_input or connection.has_unread_input
 
 
 def silent_connections(new: Iterable[TrackedConnection], now_s: float) -> list[TrackedConnection]:
--- a/anisespool/listener/received_input.py
+++ b/anisespool/listener/received_input.py
@@ -48,8 +48,9 @@
         self._requests_in_read = 0
 
     def __bool__(self) -> bool:
-        """Return whether anything is left to be handled or completed."""
-        return bool(self.pipeline) or bool(self._unparsed) or self._parser.partial
+        """Return whether anything is left to be handled or completed, or to be answered by an error."""
+        is_pending = bool(self.pipeline) or bool(self._unparsed) or self._parser.partial
+        return is_pending or bool(self._parser.error_status)
 
     @property
     def is_parsed(self) -> bool:
@@ -94,6 +95,7 @@
             data: The input.
             arrived_at: The earliest time of its arrival, as far as the connection knows (monotonic ns).
         """
+        assert self.is_parsed
         self._unparsed = memoryview(data)
         self._arrived_at = arrived_at
         self._requests_in_read = 0
--- a/anisespool/listener/tracked_connection.py
+++ b/anisespool/listener/tracked_connection.py
@@ -28,8 +28,8 @@
         """Whether no request is open, pipelined or partly received, and the connection is not closing."""
 
     @property
-    def has_waiting_request(self) -> bool:
-        """Whether a complete request may have been read that has not been started."""
+    def has_read_input(self) -> bool:
+        """Whether part of a request, or one that has not been started, has been read."""
 
     @property
     def has_pending_response(self) -> bool:
--- a/tests/sidecar/test_hostile_clients.py
+++ b/tests/sidecar/test_hostile_clients.py
@@ -31,6 +31,7 @@
 ATTACK_S = 3.0
 HONEST_INTERVAL_S = 0.05
 REQUEST_S = 1.0
+LARGE_BODY_BYTES = 60_000
 ANSWER_SLACK_S = 0.5
 """An answer later than this after the request's time is lost."""
 MIN_SERVED_SHARE = 0.5
@@ -40,18 +41,21 @@
 
 @dataclass(slots=True)
 class HonestClients:
-    """Clients that send one small request each, and what became of these requests."""
+    """Clients that send one request each, every fourth a large one, and what became of these requests."""
 
     statuses: list[int] = field(default_factory=list)
     latencies_s: list[float] = field(default_factory=list)
 
-    async def send(self, address: Address, trace_id: str) -> None:
+    async def send(self, address: Address, number: int) -> None:
         """Send one request; a status of 0 stands for no answer in time."""
+        left_ms = int(REQUEST_S * 1000)
+        request = request_bytes("look", f"honest-{number}", left_ms)
+        if number % 4 == 3:
+            request = request_bytes("once", f"honest-{number}", left_ms, body=b"y" * LARGE_BODY_BYTES)
         started_s = time.monotonic()
         status = 0
         try:
             async with asyncio.timeout(REQUEST_S + ANSWER_SLACK_S):
-                request = request_bytes("look", trace_id, left_ms=int(REQUEST_S * 1000))
                 status = (await send_request(address, request)).status
         except (OSError, EOFError, TimeoutError):
             pass
@@ -62,7 +66,7 @@
         """Send a request every `HONEST_INTERVAL_S`, each on a connection of its own."""
         async with asyncio.TaskGroup() as tasks:
             for number in range(int(duration_s / HONEST_INTERVAL_S)):
-                tasks.create_task(self.send(address, f"honest-{number}"))
+                tasks.create_task(self.send(address, number))
                 await asyncio.sleep(HONEST_INTERVAL_S)
 
 
@@ -137,5 +141,5 @@
     assert outcome.exit_status is None
     assert outcome.memory_mb <= MEMORY_MB
     assert outcome.descriptors <= SOCKETS
-    assert 0 not in statuses
+    assert set(statuses) <= {200, 503}
     assert statuses.count(200) >= MIN_SERVED_SHARE * len(statuses)
