--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -35,6 +35,10 @@
 SIGNAL_PAUSE_S = 0.05
 
 
+class StartError(Exception):
+    """A sidecar's process ended while it started."""
+
+
 @dataclass(frozen=True, slots=True)
 class RunResult:
     """The verdict on one run."""
@@ -70,7 +74,11 @@
     is_restarting: bool = False
 
     async def start(self) -> None:
-        """Start the process, and wait until it is ready."""
+        """Start the process, and wait until it is ready.
+
+        Raises:
+            StartError: The process ended before.
+        """
         with self.log_path.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "anisespool", env=os.environ | self.env, stderr=log
@@ -79,6 +87,8 @@
             with suppress(OSError, EOFError):
                 await wait_until_health(self.address, 200)
                 return
+            if self.process.returncode is not None:
+                raise StartError(f"sidecar {self.number}: {self.process.returncode} while it started")
             await asyncio.sleep(0.01)
 
     def send_signal(self, number: signal.Signals) -> None:
@@ -264,7 +274,11 @@
         status = await sidecar.process.wait()
         if status not in (0, -signal.SIGKILL):
             self._crashes.append(f"sidecar {sidecar.number}: {status} after SIGTERM")
-        await sidecar.start()
+        try:
+            await sidecar.start()
+        except StartError as error:
+            self._crashes.append(str(error))
+            await sidecar.start()
         sidecar.is_restarting = False
 
     async def _reload(self, fault: Fault) -> None:
