--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -384,6 +384,9 @@
     ) -> None:
         request_class = path.split("/")[1]
         trace_id = fields.get("x-trace-id", "")
+        if not trace_id or request_class not in Classes.WORK_MS:
+            self._write(writer, 404, b"")
+            return
         self.arrivals.append((self._record.now(), request_class))
         work = self._work
         if self.phase != "up" or work.waiting >= self._room:
