--- a/anisespool/proxy/endpoint_registry.py
+++ b/anisespool/proxy/endpoint_registry.py
@@ -90,6 +90,7 @@
             entry: The endpoint as received from discovery.
             tracked_state: Its state with earlier drains applied.
         """
+        is_known = entry.id in self.numbers
         number = self._number_of(entry)
         self._listed[entry.id] = entry
         state = effective_state(tracked_state, entry.id in self.operator_drains)
@@ -99,12 +100,13 @@
         if state == EndpointState.GONE:
             self.remove(entry.id)
         else:
-            self._set_ready(number, entry, state == EndpointState.READY)
+            self._set_ready(number, entry, state == EndpointState.READY, is_known)
         return entry.listing._replace(endpoint=number, state=state)
 
     def remove(self, endpoint_id: str) -> None:
         """Remove an endpoint, its number and its connection pool."""
         number = self.numbers.pop(endpoint_id)
+        self._log_change(number, endpoint_id, EndpointState.GONE)
         self._listed.pop(endpoint_id, None)
         self._address_owners.remove(endpoint_id)
         self.ready_numbers.discard(number)
@@ -147,13 +149,19 @@
             log_event("endpoint_added", number=number, endpoint=entry.id, address=_format_address(entry))
         return number
 
-    def _set_ready(self, number: int, entry: EndpointEntry, ready: bool) -> None:
+    def _set_ready(self, number: int, entry: EndpointEntry, ready: bool, is_known: bool) -> None:
         self._cluster.update(number, entry.address, entry.listing.started_ns, ready)
+        if is_known and ready != (number in self.ready_numbers):
+            self._log_change(number, entry.id, EndpointState.READY if ready else EndpointState.DRAINING)
         if ready:
             self.ready_numbers.add(number)
         else:
             self.ready_numbers.discard(number)
 
+    def _log_change(self, number: int, endpoint_id: str, state: EndpointState) -> None:
+        """Log that an endpoint that was listed before may be used from now on, or not any more."""
+        log_event("endpoint_state_changed", number=number, endpoint=endpoint_id, state=state.name.lower())
+
     def _remove_all_but(self, listed_ids: set[str], revision: int) -> None:
         for endpoint_id in self.numbers.keys() - listed_ids:
             self._track_state(endpoint_id, self._listed[endpoint_id].listing, EndpointState.GONE, revision)
