--- a/anisespool/config/platform/__init__.py
+++ b/anisespool/config/platform/__init__.py
@@ -5,12 +5,18 @@
 """
 
 from anisespool.config.platform.address import Address
-from anisespool.config.platform.endpoint_list import EndpointEntry, EndpointList, parse_endpoint_list
+from anisespool.config.platform.endpoint_list import (
+    NO_ADDRESS,
+    EndpointEntry,
+    EndpointList,
+    parse_endpoint_list,
+)
 from anisespool.config.platform.errors import ConfigError, PlatformConfigError
 from anisespool.config.platform.names import NameIndex
 from anisespool.config.platform.platform_config import PeerAddresses, PlatformConfig
 
 __all__ = [
+    "NO_ADDRESS",
     "Address",
     "ConfigError",
     "EndpointEntry",
--- a/anisespool/config/platform/endpoint_list.py
+++ b/anisespool/config/platform/endpoint_list.py
@@ -26,7 +26,8 @@
 
     Attributes:
         id: The endpoint's id in the list.
-        address: The address it listens on; NO_ADDRESS for a removed endpoint.
+        address: The address it listens on; NO_ADDRESS for a removed endpoint whose entry has none that can be
+            read.
         listing: The entry for the balancer. `listing.endpoint` is 0 until the proxy numbers the endpoint.
     """
 
@@ -80,9 +81,7 @@
 
 def _parse_entry(raw: Mapping[str, Any], names: NameIndex) -> EndpointEntry:
     state = ENDPOINT_STATES[raw["phase"]]
-    # The entry of a removed endpoint may have only id and phase; the endpoint is removed nevertheless.
-    is_removed = state == EndpointState.GONE
-    address = NO_ADDRESS if is_removed else Address.parse(raw["host_port"])
+    address = _removed_address(raw) if state == EndpointState.GONE else Address.parse(raw["host_port"])
     up_since_ms = int(raw.get("up_since_ms", 0))
     # The result is in monotonic ns. 0 stands for an unknown start, so a known start is at least 1.
     started_ns = max(1, up_since_ms * NS_PER_MS - names.monotonic_epoch_ns) if up_since_ms else 0
@@ -92,3 +91,11 @@
     cell = int(raw.get("cell", 0))
     listing = EndpointListing(0, weight, cell, machine_type, zone, state, started_ns)
     return EndpointEntry(str(raw["id"]), address, listing)
+
+
+def _removed_address(raw: Mapping[str, Any]) -> Address:
+    """Return the address of a removed endpoint, whose entry may have only id and phase."""
+    try:
+        return Address.parse(raw["host_port"])
+    except (KeyError, ValueError):
+        return NO_ADDRESS
--- a/anisespool/proxy/endpoint_registry.py
+++ b/anisespool/proxy/endpoint_registry.py
@@ -12,8 +12,8 @@
 
 from anisespool.balancer import interface as api
 from anisespool.balancer.interface import EndpointListKind, EndpointState
-from anisespool.config.platform import EndpointEntry, EndpointList
-from anisespool.discovery.address_owners import AddressOwners
+from anisespool.config.platform import NO_ADDRESS, EndpointEntry, EndpointList
+from anisespool.discovery.address_owners import AddressOwners, Successor
 from anisespool.discovery.drains import NO_REVISION, DrainTracker, effective_state
 from anisespool.log import log_event
 from anisespool.upstream.cluster import Cluster
@@ -43,6 +43,8 @@
         self._revision = 0
         self._drain_tracker = DrainTracker()
         self._address_owners = AddressOwners()
+        # Ids of superseded endpoints that have a timer for the time when their successor is forgotten.
+        self._awaiting_expiry: set[str] = set()
 
     def apply(self, update: EndpointList, kind: EndpointListKind) -> list[api.EndpointListing]:
         """Apply a full list or changes to the current one, and update the connection pools.
@@ -75,13 +77,16 @@
 
     def _place(self, entries: tuple[EndpointEntry, ...]) -> set[str]:
         """Note the addresses of an update's entries; return other endpoints whose state that may change."""
+        now_ns = time.monotonic_ns()
         affected: set[str] = set()
         for entry in entries:
+            started_ns = entry.listing.started_ns
             if entry.listing.state == EndpointState.GONE:
-                affected |= self._address_owners.remove(entry.id)
+                address = None if entry.address == NO_ADDRESS else entry.address
+                affected |= self._address_owners.remove(now_ns, entry.id, address, started_ns)
             else:
-                affected |= self._address_owners.place(entry.id, entry.address, entry.listing.started_ns)
-        return affected - {entry.id for entry in entries}
+                affected |= self._address_owners.place(now_ns, entry.id, entry.address, started_ns)
+        return (affected & self._listed.keys()) - {entry.id for entry in entries}
 
     def _apply_entry(self, entry: EndpointEntry, tracked_state: int) -> api.EndpointListing:
         """Update the connection pool of an endpoint, and return its listing for the balancer.
@@ -94,8 +99,9 @@
         number = self._number_of(entry)
         self._listed[entry.id] = entry
         state = effective_state(tracked_state, entry.id in self.operator_drains)
-        if state == EndpointState.READY and (successor := self._address_owners.successor(entry.id)):
-            log_event("endpoint_superseded", endpoint=entry.id, successor=successor)
+        if state == EndpointState.READY and (successor := self._successor(entry.id)):
+            log_event("endpoint_superseded", endpoint=entry.id, successor=successor.endpoint_id)
+            self._reapply_at_expiry(entry.id, successor)
             state = EndpointState.DRAINING
         if state == EndpointState.GONE:
             self.remove(entry.id)
@@ -108,7 +114,7 @@
         number = self.numbers.pop(endpoint_id)
         self._log_change(number, endpoint_id, EndpointState.GONE)
         self._listed.pop(endpoint_id, None)
-        self._address_owners.remove(endpoint_id)
+        self._address_owners.remove(time.monotonic_ns(), endpoint_id)
         self.ready_numbers.discard(number)
         self._cluster.remove(number)
 
@@ -123,12 +129,12 @@
     def ready_ids(self) -> set[str]:
         """Return the ids that discovery lists as ready, before operator drains are applied.
 
-        An endpoint whose address a newer process has is not one of them.
+        An endpoint whose address a newer process has, or had until it was withdrawn, is not one of them.
         """
         return {
             endpoint_id
             for endpoint_id, entry in self._listed.items()
-            if entry.listing.state == EndpointState.READY and not self._address_owners.successor(endpoint_id)
+            if entry.listing.state == EndpointState.READY and not self._successor(endpoint_id)
         }
 
     def last_listings(self, endpoint_ids: list[str]) -> EndpointList:
@@ -138,6 +144,21 @@
         )
         return EndpointList(self._revision, False, entries)
 
+    def _successor(self, endpoint_id: str) -> Successor | None:
+        return self._address_owners.successor(time.monotonic_ns(), endpoint_id)
+
+    def _reapply_at_expiry(self, endpoint_id: str, successor: Successor) -> None:
+        """Apply a superseded entry again when its withdrawn successor is forgotten; one timer each."""
+        if successor.expires_at_ns is None or endpoint_id in self._awaiting_expiry:
+            return
+        self._awaiting_expiry.add(endpoint_id)
+        delay_s = (successor.expires_at_ns - time.monotonic_ns()) / 1e9
+        asyncio.get_running_loop().call_later(delay_s, self._reapply_expired, endpoint_id)
+
+    def _reapply_expired(self, endpoint_id: str) -> None:
+        self._awaiting_expiry.discard(endpoint_id)
+        self._reapply([endpoint_id])
+
     def _number_of(self, entry: EndpointEntry) -> int:
         """Return the endpoint's number, assigning one if it has none."""
         number = self.numbers.get(entry.id)
--- a/tests/proxy/test_address_reuse.py
+++ b/tests/proxy/test_address_reuse.py
@@ -9,11 +9,15 @@
 
 import pytest
 
+from anisespool.discovery import address_owners
+from anisespool.fakes.discovery import ScriptedDiscovery
 from anisespool.fakes.endpoint import Endpoint
 from anisespool.fakes.platform import member, member_list
-from tests.harness.client import request_bytes, send_request
+from anisespool.fakes.server import reset
+from tests.harness.client import new_trace_id, request_bytes, send_request
 from tests.harness.running_sidecar import RunningSidecar, running_sidecar
 from tests.harness.waiting import wait_until
+from tests.sidecar.test_reload import move_watch
 
 NOW_MS = int(time.time() * 1000)
 SETTLE_S = 0.1
@@ -61,6 +65,127 @@
         assert (await send_request(sidecar.address, request_bytes("look", "t1"))).status == 200
 
 
+class Replacement:
+    """An endpoint whose address is listed for `s-0`, which has ended, and for `s-new`, which runs there."""
+
+    def __init__(self, sidecar: RunningSidecar, endpoint: Endpoint) -> None:
+        self.sidecar = sidecar
+        self.old = member("s-0", endpoint.address)
+        self.new = member("s-new", endpoint.address, up_since_ms=NOW_MS - 60_000)
+        self.draining = self.new | {"phase": "draining"}
+        self.removed = self.new | {"phase": "removed"}
+        self._endpoint = endpoint
+
+    async def publish(self, revision: int, *members: dict[str, Any], complete: bool = False) -> None:
+        await publish(self.sidecar, revision, *members, complete=complete)
+
+    async def reopen_watch(self, *, by_reset: bool) -> None:
+        """End the open watch, and wait for the next one."""
+        connections = self.sidecar.discovery.connections
+        watch_count = len(connections)
+        if by_reset:
+            reset(connections[-1].writer)
+        else:
+            connections[-1].writer.close()
+        await wait_until(lambda: len(connections) > watch_count)
+
+    async def is_used(self) -> bool:
+        """Send a request, and return whether it was served; the process gets none that is not served."""
+        count = len(self._endpoint.requests)
+        response = await send_request(self.sidecar.address, request_bytes("look", new_trace_id()))
+        assert len(self._endpoint.requests) - count == (response.status == 200)
+        return response.status == 200
+
+
+@pytest.mark.parametrize(
+    "path",
+    [
+        "change",
+        "id_alone",
+        "no_address",
+        "never_listed",
+        "whole_list",
+        "drain_then_whole_list",
+        "watch_ended",
+        "watch_reset",
+        "sighup",
+        "sighup_to_an_older_list",
+        "removed_twice",
+    ],
+)
+async def test_nothing_is_sent_to_a_withdrawn_process_by_the_id_of_its_predecessor(
+    tmp_path: Path, path: str
+) -> None:
+    """review/9: the newer process was forgotten with its entry, and the dead endpoint's id was used again."""
+    other_discovery = ScriptedDiscovery()
+    async with (
+        Endpoint().serve() as endpoint,
+        other_discovery.serve(),
+        running_sidecar(tmp_path, endpoint) as sidecar,
+    ):
+        case = Replacement(sidecar, endpoint)
+        if path != "never_listed":
+            await case.publish(2, case.new)
+            assert await case.is_used()
+        match path:
+            case "change" | "never_listed":
+                await case.publish(3, case.removed)
+            case "id_alone":
+                await case.publish(3, {"id": "s-new", "phase": "removed"})
+            case "no_address":
+                await case.publish(3, case.removed | {"host_port": None})
+            case "whole_list":
+                await case.publish(3, case.old, complete=True)
+            case "drain_then_whole_list":
+                await case.publish(3, case.draining)
+                await case.publish(4, case.old, complete=True)
+            case "watch_ended" | "watch_reset":
+                await case.reopen_watch(by_reset=path == "watch_reset")
+                await case.publish(3, case.old, complete=True)
+            case "sighup" | "sighup_to_an_older_list":
+                await move_watch(sidecar, tmp_path, other_discovery)
+                other_discovery.send(member_list(1 if path == "sighup_to_an_older_list" else 3, [case.old]))
+                await asyncio.sleep(SETTLE_S)
+            case "removed_twice":
+                await case.publish(3, case.removed, case.old | {"phase": "removed"})
+                await case.publish(4, case.old)
+        assert not await case.is_used()
+
+
+@pytest.mark.parametrize("complete", [True, False], ids=["whole list", "change"])
+@pytest.mark.parametrize("returning", ["same process", "restarted", "old id, newer", "other id, newer"])
+async def test_what_comes_back_newer_is_used_again(tmp_path: Path, complete: bool, returning: str) -> None:
+    """A withdrawn process must not make its address useless for those that come after it."""
+    async with Endpoint().serve() as endpoint, running_sidecar(tmp_path, endpoint) as sidecar:
+        case = Replacement(sidecar, endpoint)
+        await case.publish(2, case.new)
+        await case.publish(3, case.old, complete=True)
+        assert not await case.is_used()
+        returned = {
+            "same process": case.new,
+            "restarted": case.new | {"up_since_ms": NOW_MS - 30_000},
+            "old id, newer": case.old | {"up_since_ms": NOW_MS - 30_000},
+            "other id, newer": case.new | {"id": "s-next", "up_since_ms": NOW_MS - 30_000},
+        }[returning]
+        await case.publish(4, returned, complete=complete)
+        assert await case.is_used()
+
+
+async def test_an_entry_is_used_again_once_the_withdrawn_process_is_forgotten(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The clock of a newer process's machine may be behind; its entry must not wait for another update."""
+    monkeypatch.setattr(address_owners, "WITHDRAWN_PROCESS_LIFETIME_NS", 300_000_000)
+    async with Endpoint().serve() as endpoint, running_sidecar(tmp_path, endpoint) as sidecar:
+        case = Replacement(sidecar, endpoint)
+        await case.publish(2, case.new)
+        await case.publish(3, case.removed)
+        withdrawn_s = time.monotonic() - SETTLE_S
+        while not await case.is_used():
+            await asyncio.sleep(0.01)
+        assert time.monotonic() - withdrawn_s >= 0.3
+
+
 async def test_connections_to_the_old_process_are_not_used_for_the_new_one(tmp_path: Path) -> None:
     """A request on a connection of the old process would end as a reset, which may have been executed."""
     async with Endpoint().serve() as endpoint, running_sidecar(tmp_path, endpoint) as sidecar:
