--- a/anisespool/discovery/address_owners.py
+++ b/anisespool/discovery/address_owners.py
@@ -80,6 +80,7 @@
             # With the same start the process has never been at the other address: the entry was corrected.
             if previous.started_ns != started_ns:
                 self._withdraw(now_ns, endpoint_id, previous)
+        started_ns = self._latest_start(endpoint_id, address, started_ns)
         self._listed[endpoint_id] = _ListedProcess(address, started_ns)
         ids = self._listed_ids.setdefault(address, set())
         ids.add(endpoint_id)
@@ -109,6 +110,16 @@
             self._withdraw(now_ns, endpoint_id, _ListedProcess(address, started_ns))
         return affected
 
+    def started_ns(self, endpoint_id: str) -> int:
+        """Return the latest start time that a list has had for a listed endpoint at its address.
+
+        A list that is behind may have the time of an earlier start.
+
+        Raises:
+            KeyError: The endpoint is not listed.
+        """
+        return self._listed[endpoint_id].started_ns
+
     def successor(self, now_ns: int, endpoint_id: str) -> Successor | None:
         """Return the newer process that has this endpoint's address, if there is one."""
         endpoint = self._listed.get(endpoint_id)
@@ -134,6 +145,17 @@
             del self._listed_ids[address]
         return set(ids)
 
+    def _latest_start(self, endpoint_id: str, address: Address, started_ns: int) -> int:
+        """Return the latest known start of an endpoint at an address, given the one in a new list."""
+        starts = [started_ns]
+        listed = self._listed.get(endpoint_id)
+        if listed and listed.address == address:
+            starts.append(listed.started_ns)
+        withdrawn = self._withdrawn.get(address)
+        if withdrawn and withdrawn.endpoint_id == endpoint_id:
+            starts.append(withdrawn.started_ns)
+        return max(starts, key=_start_order)
+
     def _withdraw(self, now_ns: int, endpoint_id: str, process: _ListedProcess) -> None:
         """Store a process that discovery has withdrawn, unless a newer one was withdrawn at its address."""
         address, started_ns = process
--- a/anisespool/discovery/drains.py
+++ b/anisespool/discovery/drains.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from anisespool.balancer.interface import EndpointState
 
@@ -15,7 +15,8 @@
 # behind has caught up by then. One that still disagrees numbers its revisions differently or has ended the
 # drain, so its list takes effect.
 CATCH_UP_NS = 6_000_000_000
-MAX_WITHDRAWN_ENDPOINTS = 4096
+# The largest fleet has 3,200 endpoints; all of them may be replaced twice before an older list arrives.
+MAX_WITHDRAWN_ENDPOINTS = 8192
 # Lower than the revision of any list.
 NO_REVISION = -1
 
@@ -37,12 +38,13 @@
     """Record of an endpoint that was draining or gone in a list.
 
     Attributes:
-        started_ns: Start time of the endpoint's process in that list, ns.
+        covered_until_ns: The endpoint's processes that started up to this monotonic time are withdrawn: those
+            that the list may have known. A list that is behind may have any earlier start.
         revision: Highest revision of a list in which it was draining or gone.
         contradicted_at_ns: Monotonic time when an older list first had the endpoint as ready; 0 if none had.
     """
 
-    started_ns: int
+    covered_until_ns: int
     revision: int
     contradicted_at_ns: int = 0
 
@@ -52,8 +54,9 @@
 
     A new configuration may name a discovery service that is behind the previous one. An endpoint that the
     previous one listed as draining or gone stays withdrawn until a list of the same or a higher revision has
-    it as ready, the endpoint restarts, or older lists have contradicted the withdrawal for `catch_up_ns`. At
-    most `max_endpoints` withdrawals are stored; the least recently updated one is dropped first.
+    it as ready, it is listed with a start after its withdrawal, or older lists have contradicted the
+    withdrawal for `catch_up_ns`. At most `max_endpoints` withdrawals are stored; the least recently updated
+    one is dropped first.
 
     Attributes:
         catch_up_ns: How long older lists that contradict a withdrawal have no effect.
@@ -81,19 +84,20 @@
         """
         withdrawal = self._withdrawals.pop(endpoint_id, _Withdrawal(started_ns, NO_REVISION))
         if listed_state != EndpointState.READY:
-            if withdrawal.started_ns == started_ns:
+            if started_ns <= withdrawal.covered_until_ns:
                 revision = max(withdrawal.revision, revision)
-            self._store(endpoint_id, _Withdrawal(started_ns, revision))
+            covered_until_ns = max(withdrawal.covered_until_ns, started_ns, now_ns)
+            self._store(endpoint_id, _Withdrawal(covered_until_ns, revision))
             return listed_state
         if not self._overrides(withdrawal, now_ns, started_ns, revision):
             return listed_state
         contradicted_at_ns = withdrawal.contradicted_at_ns or now_ns
-        self._store(endpoint_id, _Withdrawal(started_ns, withdrawal.revision, contradicted_at_ns))
+        self._store(endpoint_id, replace(withdrawal, contradicted_at_ns=contradicted_at_ns))
         return EndpointState.DRAINING
 
     def _overrides(self, withdrawal: _Withdrawal, now_ns: int, started_ns: int, revision: int) -> bool:
         """Return whether the withdrawal overrides a list of `revision` that has the endpoint as ready."""
-        if withdrawal.started_ns != started_ns or revision >= withdrawal.revision:
+        if started_ns > withdrawal.covered_until_ns or revision >= withdrawal.revision:
             return False
         contradicted_at_ns = withdrawal.contradicted_at_ns
         return not contradicted_at_ns or now_ns < contradicted_at_ns + self.catch_up_ns
--- a/anisespool/proxy/endpoint_registry.py
+++ b/anisespool/proxy/endpoint_registry.py
@@ -58,10 +58,10 @@
         """
         if kind is not EndpointListKind.DELTA:
             self._remove_all_but({entry.id for entry in update.endpoints}, update.revision)
-        affected = self._place(update.endpoints)
+        entries, affected = self._place(update.endpoints)
         contradicted: list[str] = []
         listings: list[api.EndpointListing] = []
-        for entry in update.endpoints:
+        for entry in entries:
             tracked = self._track_state(entry.id, entry.listing, entry.listing.state, update.revision)
             if tracked != entry.listing.state:
                 contradicted.append(entry.id)
@@ -75,18 +75,27 @@
         self._revision = update.revision
         return listings
 
-    def _place(self, entries: tuple[EndpointEntry, ...]) -> set[str]:
-        """Note the addresses of an update's entries; return other endpoints whose state that may change."""
+    def _place(self, entries: tuple[EndpointEntry, ...]) -> tuple[list[EndpointEntry], set[str]]:
+        """Note the addresses of an update's entries.
+
+        Returns:
+            The entries, with the latest start known of each process, and the ids of other endpoints whose
+            state may change.
+        """
         now_ns = time.monotonic_ns()
+        placed: list[EndpointEntry] = []
         affected: set[str] = set()
         for entry in entries:
             started_ns = entry.listing.started_ns
             if entry.listing.state == EndpointState.GONE:
                 address = None if entry.address == NO_ADDRESS else entry.address
                 affected |= self._address_owners.remove(now_ns, entry.id, address, started_ns)
-            else:
-                affected |= self._address_owners.place(now_ns, entry.id, entry.address, started_ns)
-        return (affected & self._listed.keys()) - {entry.id for entry in entries}
+                placed.append(entry)
+                continue
+            affected |= self._address_owners.place(now_ns, entry.id, entry.address, started_ns)
+            latest_ns = self._address_owners.started_ns(entry.id)
+            placed.append(entry._replace(listing=entry.listing._replace(started_ns=latest_ns)))
+        return placed, (affected & self._listed.keys()) - {entry.id for entry in entries}
 
     def _apply_entry(self, entry: EndpointEntry, tracked_state: int) -> api.EndpointListing:
         """Update the connection pool of an endpoint, and return its listing for the balancer.
--- a/tests/discovery/test_address_owners.py
+++ b/tests/discovery/test_address_owners.py
@@ -80,6 +80,19 @@
     assert superseded(owners, "middle") == ["middle"]
 
 
+def test_a_start_never_goes_back_at_an_address() -> None:
+    """A list that is behind has the start of an earlier process, but the later one is there."""
+    owners = AddressOwners()
+    owners.place(0, "a", A, 5)
+    owners.place(0, "a", A, UNKNOWN_START)
+    assert owners.started_ns("a") == 5
+    owners.remove(0, "a")
+    owners.place(0, "a", A, 3)
+    assert owners.started_ns("a") == 5
+    owners.place(0, "a", B, 3)
+    assert owners.started_ns("a") == 3
+
+
 def test_a_corrected_address_frees_the_old_one_and_a_restart_elsewhere_does_not() -> None:
     """The process itself never was at the old address; one that restarted elsewhere may still end there."""
     owners = AddressOwners()
--- a/tests/discovery/test_drains.py
+++ b/tests/discovery/test_drains.py
@@ -30,12 +30,17 @@
         (5, 1, CATCH_UP_NS - 1, True),
         (5, 49, CATCH_UP_NS, False),
         (6, 49, 0, False),
+        (4, 49, 0, True),
+        (4, 50, 0, False),
     ],
 )
 def test_a_listed_drain_outlasts_older_lists_until_a_restart_or_the_catch_up_time(
     listed: int, started_ns: int, revision: int, after_ns: int, stays_draining: bool
 ) -> None:
-    """Revision 50 drains the endpoint started at 5; two lists, `after_ns` apart, have it as ready."""
+    """Revision 50 drains the endpoint started at 5; two lists, `after_ns` apart, have it as ready.
+
+    A list from before its last start ended the drain (review/8).
+    """
     tracker = DrainTracker()
     assert tracker.resolve(1, "s-0", 5, listed, 50) == listed
     # An older list that agrees does not lower the revision of the withdrawal.
@@ -46,6 +51,14 @@
     assert tracker.resolve(1, "s-1", 5, READY, 1) == READY
 
 
+def test_a_withdrawal_covers_a_start_that_was_not_known_when_it_was_learned() -> None:
+    """A list leaves out an endpoint that has restarted unnoticed; a list that is behind has that start."""
+    tracker = DrainTracker()
+    tracker.resolve(100, "s-0", 5, GONE, 50)
+    assert tracker.resolve(200, "s-0", 60, READY, 49) == DRAINING
+    assert tracker.resolve(200, "s-0", 150, READY, 49) == READY
+
+
 def test_stored_withdrawals_are_bounded_and_the_least_recently_updated_is_dropped_first() -> None:
     tracker = DrainTracker(max_endpoints=2)
     for name in ("a", "b", "a", "c"):
--- a/tests/proxy/test_address_reuse.py
+++ b/tests/proxy/test_address_reuse.py
@@ -186,6 +186,45 @@
         assert time.monotonic() - withdrawn_s >= 0.3
 
 
+async def test_the_start_of_an_older_list_does_not_replace_a_newer_one(tmp_path: Path) -> None:
+    """A list that is behind would make a warming endpoint count as warm, and close its connections."""
+    other_discovery = ScriptedDiscovery()
+    async with (
+        Endpoint().serve() as endpoint,
+        other_discovery.serve(),
+        running_sidecar(tmp_path, endpoint) as sidecar,
+    ):
+        case = Replacement(sidecar, endpoint)
+        await case.publish(5, case.old | {"up_since_ms": NOW_MS - 60_000})
+        assert await case.is_used()
+        await move_watch(sidecar, tmp_path, other_discovery)
+        other_discovery.send(member_list(4, [case.old]))
+        await asyncio.sleep(SETTLE_S)
+        assert await case.is_used()
+        assert len(endpoint.connections) == 1
+
+
+async def test_a_drain_outlasts_a_list_from_before_the_last_start(tmp_path: Path) -> None:
+    """review/8: the earlier start of a list that was behind was taken for a restart and ended the drain."""
+    other_discovery = ScriptedDiscovery()
+    async with (
+        Endpoint().serve() as endpoint,
+        other_discovery.serve(),
+        running_sidecar(tmp_path, endpoint) as sidecar,
+    ):
+        case = Replacement(sidecar, endpoint)
+        restarted = case.old | {"up_since_ms": NOW_MS - 60_000}
+        await case.publish(5, restarted)
+        await case.publish(6, restarted | {"phase": "draining"})
+        await move_watch(sidecar, tmp_path, other_discovery)
+        other_discovery.send(member_list(4, [case.old]))
+        await asyncio.sleep(SETTLE_S)
+        assert not await case.is_used()
+        other_discovery.send(member_list(6, [restarted], complete=False))
+        await asyncio.sleep(SETTLE_S)
+        assert await case.is_used()
+
+
 async def test_connections_to_the_old_process_are_not_used_for_the_new_one(tmp_path: Path) -> None:
     """A request on a connection of the old process would end as a reset, which may have been executed."""
     async with Endpoint().serve() as endpoint, running_sidecar(tmp_path, endpoint) as sidecar:
