Test of input turns on a clock of its own, as a busy machine failed it

Traced: the test's steps slept for half a turn by the real clock; where such a sleep took a whole turn, the second handler had to wait. No fault of the scheduler. The steps now advance a clock that replaces the scheduler's.

--- a/tests/test_input_scheduler.py
+++ b/tests/test_input_scheduler.py
@@ -3,21 +3,41 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
+import pytest
+
+from anisespool import input_scheduler
 from anisespool.input_scheduler import TURN_NS, InputScheduler
 
-STEP_S = TURN_NS / 1e9 / 2
+STEP_NS = TURN_NS // 2
+
+
+class ManualClock:
+    """Replaces the scheduler's clock, so that only the handlers' steps take time."""
+
+    def __init__(self) -> None:
+        self.now_ns = 1
+
+    def monotonic_ns(self) -> int:
+        return self.now_ns
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> ManualClock:
+    manual_clock = ManualClock()
+    monkeypatch.setattr(input_scheduler, "time", manual_clock)
+    return manual_clock
 
 
 class SlowHandler:
     """A connection whose input takes a number of steps of half a turn each."""
 
-    def __init__(self, steps: int) -> None:
+    def __init__(self, clock: ManualClock, steps: int) -> None:
         self.steps = steps
+        self._clock = clock
 
     def handle_input(self) -> bool:
-        time.sleep(STEP_S)
+        self._clock.now_ns += STEP_NS
         self.steps -= 1
         return self.steps > 0
 
@@ -33,10 +53,10 @@
         return False
 
 
-async def test_long_input_is_handled_in_turns_of_limited_time() -> None:
+async def test_long_input_is_handled_in_turns_of_limited_time(clock: ManualClock) -> None:
     """One read with thousands of requests was handled at once, while all other clients waited."""
     scheduler = InputScheduler()
-    handlers = [SlowHandler(steps=3) for _ in range(4)]
+    handlers = [SlowHandler(clock, steps=3) for _ in range(4)]
     for handler in handlers:
         scheduler.submit(handler, is_short=False)
     assert [handler.steps for handler in handlers] == [2, 2, 3, 3]
@@ -48,21 +68,21 @@
     assert turns >= 3  # ten steps, at most three in a turn
 
 
-async def test_short_input_is_handled_at_once_while_long_input_waits() -> None:
+async def test_short_input_is_handled_at_once_while_long_input_waits(clock: ManualClock) -> None:
     scheduler = InputScheduler()
     for _ in range(8):
-        scheduler.submit(SlowHandler(steps=3), is_short=False)
+        scheduler.submit(SlowHandler(clock, steps=3), is_short=False)
     quick = QuickHandler()
     scheduler.submit(quick, is_short=True)
     assert quick.is_handled
 
 
-async def test_input_that_waits_is_not_starved_by_new_input() -> None:
+async def test_input_that_waits_is_not_starved_by_new_input(clock: ManualClock) -> None:
     scheduler = InputScheduler()
-    waiting = SlowHandler(steps=3)
+    waiting = SlowHandler(clock, steps=3)
     scheduler.submit(waiting, is_short=False)
     for _ in range(3):
         for _ in range(3):
-            scheduler.submit(SlowHandler(steps=1), is_short=False)
+            scheduler.submit(SlowHandler(clock, steps=1), is_short=False)
         await asyncio.sleep(0)
     assert waiting.steps == 0
