--- a/anisespool/discovery/drains.py
+++ b/anisespool/discovery/drains.py
@@ -10,10 +10,11 @@
 from dataclasses import dataclass, replace
 
 from anisespool.balancer.interface import EndpointState
+from anisespool.discovery.contact import DiscoveryContact
 
-# The platform's protocol counts a change as delivered 6 s later at the latest, so a discovery service that is
-# behind has caught up by then. One that still disagrees numbers its revisions differently or has ended the
-# drain, so its list takes effect.
+# The platform's protocol counts a change as delivered at the latest 6 s after discovery could be reached, so
+# a service that is behind has caught up by then. One that still disagrees numbers its revisions differently
+# or has ended the drain, so its list takes effect.
 CATCH_UP_NS = 6_000_000_000
 # The largest fleet has 3,200 endpoints; all of them may be replaced twice before an older list arrives.
 MAX_WITHDRAWN_ENDPOINTS = 8192
@@ -54,15 +55,29 @@
 
     A new configuration may name a discovery service that is behind the previous one. An endpoint that the
     previous one listed as draining or gone stays withdrawn until a list of the same or a higher revision has
-    it as ready, it is listed with a start after its withdrawal, or older lists have contradicted the
-    withdrawal for `catch_up_ns`. At most `max_endpoints` withdrawals are stored; the least recently updated
-    one is dropped first.
+    it as ready, it is listed with a start after its withdrawal, or discovery has been heard for `catch_up_ns`
+    without a break since an older list contradicted the withdrawal. At most `max_endpoints` withdrawals are
+    stored; the least recently updated one is dropped first.
 
     Attributes:
-        catch_up_ns: How long older lists that contradict a withdrawal have no effect.
+        catch_up_ns: How long discovery has to be heard before an older list that contradicts a withdrawal
+            takes effect.
     """
 
-    def __init__(self, catch_up_ns: int = CATCH_UP_NS, max_endpoints: int = MAX_WITHDRAWN_ENDPOINTS) -> None:
+    def __init__(
+        self,
+        contact: DiscoveryContact,
+        catch_up_ns: int = CATCH_UP_NS,
+        max_endpoints: int = MAX_WITHDRAWN_ENDPOINTS,
+    ) -> None:
+        """Begin without withdrawals.
+
+        Args:
+            contact: The contact with discovery.
+            catch_up_ns: See the attribute.
+            max_endpoints: Limit on the stored withdrawals.
+        """
+        self._contact = contact
         self.catch_up_ns = catch_up_ns
         self._max_endpoints = max_endpoints
         # Withdrawals by endpoint id, least recently updated first.
@@ -89,18 +104,18 @@
             covered_until_ns = max(withdrawal.covered_until_ns, started_ns, now_ns)
             self._store(endpoint_id, _Withdrawal(covered_until_ns, revision))
             return listed_state
-        if not self._overrides(withdrawal, now_ns, started_ns, revision):
+        if not self._overrides(withdrawal, started_ns, revision):
             return listed_state
         contradicted_at_ns = withdrawal.contradicted_at_ns or now_ns
         self._store(endpoint_id, replace(withdrawal, contradicted_at_ns=contradicted_at_ns))
         return EndpointState.DRAINING
 
-    def _overrides(self, withdrawal: _Withdrawal, now_ns: int, started_ns: int, revision: int) -> bool:
+    def _overrides(self, withdrawal: _Withdrawal, started_ns: int, revision: int) -> bool:
         """Return whether the withdrawal overrides a list of `revision` that has the endpoint as ready."""
         if started_ns > withdrawal.covered_until_ns or revision >= withdrawal.revision:
             return False
         contradicted_at_ns = withdrawal.contradicted_at_ns
-        return not contradicted_at_ns or now_ns < contradicted_at_ns + self.catch_up_ns
+        return not contradicted_at_ns or self._contact.heard_ns_since(contradicted_at_ns) < self.catch_up_ns
 
     def _store(self, endpoint_id: str, withdrawal: _Withdrawal) -> None:
         self._withdrawals[endpoint_id] = withdrawal
--- a/anisespool/discovery/update_stream.py
+++ b/anisespool/discovery/update_stream.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import select
+import time
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
@@ -15,6 +16,7 @@
 from anisespool.codec.json_stream import JsonStreamParser
 from anisespool.config.platform import Address
 from anisespool.discovery import timeouts
+from anisespool.discovery.contact import DiscoveryContact
 from anisespool.discovery.timeouts import WatchTiming
 
 # Maximum size of one update.
@@ -28,7 +30,12 @@
     """One attempt to receive updates: from connecting to the end of the response."""
 
     def __init__(
-        self, address: Address, revision: int, timing: WatchTiming, apply_updates: ApplyUpdates
+        self,
+        address: Address,
+        revision: int,
+        timing: WatchTiming,
+        apply_updates: ApplyUpdates,
+        contact: DiscoveryContact,
     ) -> None:
         """Prepare an attempt, which `run` carries out.
 
@@ -37,7 +44,9 @@
             revision: Revision after which updates are requested; 0 requests the complete list.
             apply_updates: Takes the JSON documents that arrived together, in order. Returns whether to
                 continue.
+            contact: Notes when the service is heard.
         """
+        self._contact = contact
         self._address = address
         self._revision = revision
         self._timing = timing
@@ -88,6 +97,8 @@
                 parser.feed(data)
                 received = self._documents.feed(bytes(self._body))
                 self._body.clear()
+                if received.documents or received.line_ends:
+                    self._contact.record(time.monotonic_ns())
                 may_continue = not received.documents or self._apply_updates(received.documents)
                 # The start of the response, complete documents and empty lines extend the deadline. Bytes
                 # that never complete a document don't.
--- a/anisespool/discovery/watch.py
+++ b/anisespool/discovery/watch.py
@@ -12,6 +12,7 @@
 from anisespool.codec.json_stream import JsonStreamError
 from anisespool.config.platform import Address, EndpointList, NameIndex, parse_endpoint_list
 from anisespool.discovery import timeouts
+from anisespool.discovery.contact import DiscoveryContact
 from anisespool.discovery.repeat_limit import RepeatLimit
 from anisespool.discovery.timeouts import WatchTiming
 from anisespool.discovery.update_progress import UpdateProgress
@@ -33,6 +34,7 @@
         revision: int,
         on_update: Callable[[EndpointList], None],
         timing: WatchTiming,
+        contact: DiscoveryContact | None = None,
     ) -> None:
         """Prepare a watch, which `run` opens.
 
@@ -41,6 +43,8 @@
             names: Indexes of the names in the settings, used to parse updates.
             revision: Revision of the last update that has already been applied.
             on_update: Applies an update. If it raises an error, the update counts as not applied.
+            timing: Time limits.
+            contact: Notes when discovery is heard; None for one of its own.
         """
         self.first_attempt_done = asyncio.Event()
         self._address = address
@@ -48,6 +52,7 @@
         self._progress = UpdateProgress(revision)
         self._on_update = on_update
         self._timing = timing
+        self._contact = contact or DiscoveryContact()
         self._backoff = Backoff(timeouts.INITIAL_BACKOFF_S, timing.max_backoff_s, Random())
         self._attempt: asyncio.Task[None] | None = None
         self._stream: UpdateStream | None = None
@@ -68,6 +73,7 @@
         log_event("endpoint_list_watch_moved", address="{}:{}".format(*address))
         self._address = address
         self._backoff.reset()
+        self._contact.interrupt()
         self._progress.request_complete_list()
         if self._attempt:
             self._attempt.cancel()
@@ -90,7 +96,9 @@
         failure = ""
         try:
             revision = self._progress.revision
-            self._stream = UpdateStream(self._address, revision, self._timing, self._apply_updates)
+            self._stream = UpdateStream(
+                self._address, revision, self._timing, self._apply_updates, self._contact
+            )
             await self._stream.run()
         except (OSError, TimeoutError, JsonStreamError) as error:
             if isinstance(error, JsonStreamError):
--- a/anisespool/proxy/endpoint_registry.py
+++ b/anisespool/proxy/endpoint_registry.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 from collections.abc import Callable
 
@@ -14,10 +13,15 @@
 from anisespool.balancer.interface import EndpointListKind, EndpointState
 from anisespool.config.platform import NO_ADDRESS, EndpointEntry, EndpointList
 from anisespool.discovery.address_owners import AddressOwners, Successor
+from anisespool.discovery.contact import DiscoveryContact
 from anisespool.discovery.drains import NO_REVISION, DrainTracker, effective_state
 from anisespool.log import log_event
+from anisespool.proxy.reapply_schedule import ReapplySchedule
 from anisespool.upstream.cluster import Cluster
 
+# Interval at which contradicted drains are checked, as a share of the time that discovery has to be heard.
+RECHECK_SHARE = 0.25
+
 
 class EndpointRegistry:
     """Endpoints by id, with their number, listing and whether they may receive requests."""
@@ -37,14 +41,16 @@
         self.operator_drains: frozenset[str] = frozenset()
         """Ids of the endpoints that the operator drains, including unlisted ones."""
         self._cluster = cluster
-        self._reapply = reapply
         self._last_number = 0
         self._listed: dict[str, EndpointEntry] = {}
         self._revision = 0
-        self._drain_tracker = DrainTracker()
+        self.discovery_contact = DiscoveryContact()
+        """Recorded by the watch of the endpoint list."""
+        self._drain_tracker = DrainTracker(self.discovery_contact)
         self._address_owners = AddressOwners()
-        # Ids of superseded endpoints that have a timer for the time when their successor is forgotten.
-        self._awaiting_expiry: set[str] = set()
+        self._reapply_schedule = ReapplySchedule(reapply)
+        # Ids of endpoints that an older list has as ready in spite of an earlier drain.
+        self._contradicted: set[str] = set()
 
     def apply(self, update: EndpointList, kind: EndpointListKind) -> list[api.EndpointListing]:
         """Apply a full list or changes to the current one, and update the connection pools.
@@ -63,7 +69,9 @@
         listings: list[api.EndpointListing] = []
         for entry in entries:
             tracked = self._track_state(entry.id, entry.listing, entry.listing.state, update.revision)
-            if tracked != entry.listing.state:
+            if tracked == entry.listing.state:
+                self._contradicted.discard(entry.id)
+            else:
                 contradicted.append(entry.id)
             listings.append(self._apply_entry(entry, tracked))
         for endpoint_id in sorted(affected):
@@ -71,7 +79,7 @@
             tracked = self._track_state(endpoint_id, entry.listing, entry.listing.state, NO_REVISION)
             listings.append(self._apply_entry(entry, tracked))
         if contradicted:
-            self._schedule_reapply(contradicted, update.revision)
+            self._note_contradicted(contradicted, update.revision)
         self._revision = update.revision
         return listings
 
@@ -110,7 +118,9 @@
         state = effective_state(tracked_state, entry.id in self.operator_drains)
         if state == EndpointState.READY and (successor := self._successor(entry.id)):
             log_event("endpoint_superseded", endpoint=entry.id, successor=successor.endpoint_id)
-            self._reapply_at_expiry(entry.id, successor)
+            if successor.expires_at_ns is not None:
+                delay_ns = successor.expires_at_ns - time.monotonic_ns()
+                self._reapply_schedule.schedule([entry.id], delay_ns)
             state = EndpointState.DRAINING
         if state == EndpointState.GONE:
             self.remove(entry.id)
@@ -123,6 +133,7 @@
         number = self.numbers.pop(endpoint_id)
         self._log_change(number, endpoint_id, EndpointState.GONE)
         self._listed.pop(endpoint_id, None)
+        self._contradicted.discard(endpoint_id)
         self._address_owners.remove(time.monotonic_ns(), endpoint_id)
         self.ready_numbers.discard(number)
         self._cluster.remove(number)
@@ -156,18 +167,6 @@
     def _successor(self, endpoint_id: str) -> Successor | None:
         return self._address_owners.successor(time.monotonic_ns(), endpoint_id)
 
-    def _reapply_at_expiry(self, endpoint_id: str, successor: Successor) -> None:
-        """Apply a superseded entry again when its withdrawn successor is forgotten; one timer each."""
-        if successor.expires_at_ns is None or endpoint_id in self._awaiting_expiry:
-            return
-        self._awaiting_expiry.add(endpoint_id)
-        delay_s = (successor.expires_at_ns - time.monotonic_ns()) / 1e9
-        asyncio.get_running_loop().call_later(delay_s, self._reapply_expired, endpoint_id)
-
-    def _reapply_expired(self, endpoint_id: str) -> None:
-        self._awaiting_expiry.discard(endpoint_id)
-        self._reapply([endpoint_id])
-
     def _number_of(self, entry: EndpointEntry) -> int:
         """Return the endpoint's number, assigning one if it has none."""
         number = self.numbers.get(entry.id)
@@ -208,10 +207,14 @@
             time.monotonic_ns(), endpoint_id, listing.started_ns, state, revision
         )
 
-    def _schedule_reapply(self, endpoint_ids: list[str], revision: int) -> None:
-        log_event("endpoint_list_outdated", revision=revision, endpoint=",".join(endpoint_ids))
-        loop = asyncio.get_running_loop()
-        loop.call_later(self._drain_tracker.catch_up_ns / 1e9, self._reapply, endpoint_ids)
+    def _note_contradicted(self, endpoint_ids: list[str], revision: int) -> None:
+        """Log which endpoints an older list has as ready, and check them again while it does."""
+        new_ids = [endpoint_id for endpoint_id in endpoint_ids if endpoint_id not in self._contradicted]
+        if new_ids:
+            self._contradicted.update(new_ids)
+            log_event("endpoint_list_outdated", revision=revision, endpoint=",".join(new_ids))
+        delay_ns = int(self._drain_tracker.catch_up_ns * RECHECK_SHARE)
+        self._reapply_schedule.schedule(endpoint_ids, delay_ns)
 
 
 def _format_address(entry: EndpointEntry) -> str:
--- a/anisespool/proxy/proxy.py
+++ b/anisespool/proxy/proxy.py
@@ -14,6 +14,7 @@
 from anisespool.balancer import interface as api
 from anisespool.balancer.interface import AttemptStatus, EndpointListKind, Idempotency
 from anisespool.config.platform import EndpointList, PlatformConfig
+from anisespool.discovery.contact import DiscoveryContact
 from anisespool.log import log_event, write_event
 from anisespool.proxy.balancer_driver import BalancerDriver
 from anisespool.proxy.call import Call, FinalResponse
@@ -164,6 +165,11 @@
                 exchange.attempts_end_at = attempts_end
                 exchange.set_backstop(backstop_at(deadline_at), self._backstop_expired, request_id)
 
+    @property
+    def discovery_contact(self) -> DiscoveryContact:
+        """Contact with discovery, to be recorded by the watch of the endpoint list."""
+        return self._registry.discovery_contact
+
     @property
     def operator_drains(self) -> frozenset[str]:
         """Ids of the endpoints that the operator drains, including unlisted ones."""
--- a/anisespool/sidecar/composition.py
+++ b/anisespool/sidecar/composition.py
@@ -135,6 +135,7 @@
             config.initial_endpoints.revision,
             proxy.update_endpoints,
             watch_timing(settings),
+            proxy.discovery_contact,
         )
         self.server = Server(
             proxy,
--- a/tests/proxy/test_address_reuse.py
+++ b/tests/proxy/test_address_reuse.py
@@ -18,9 +18,12 @@
 from tests.harness.running_sidecar import RunningSidecar, running_sidecar
 from tests.harness.waiting import wait_until
 from tests.sidecar.test_reload import move_watch
+from tests.support import SECOND
 
 NOW_MS = int(time.time() * 1000)
 SETTLE_S = 0.1
+# A busy machine must not make the sidecar open a second connection in place of a slow first one.
+PATIENT: dict[str, Any] = {"allowed__connect_timeout_ns": 60 * SECOND}
 
 
 async def publish(sidecar: RunningSidecar, revision: int, *members: dict[str, Any], complete: bool) -> None:
@@ -192,7 +195,7 @@
     async with (
         Endpoint().serve() as endpoint,
         other_discovery.serve(),
-        running_sidecar(tmp_path, endpoint) as sidecar,
+        running_sidecar(tmp_path, endpoint, **PATIENT) as sidecar,
     ):
         case = Replacement(sidecar, endpoint)
         await case.publish(5, case.old | {"up_since_ms": NOW_MS - 60_000})
@@ -227,7 +230,7 @@
 
 async def test_connections_to_the_old_process_are_not_used_for_the_new_one(tmp_path: Path) -> None:
     """A request on a connection of the old process would end as a reset, which may have been executed."""
-    async with Endpoint().serve() as endpoint, running_sidecar(tmp_path, endpoint) as sidecar:
+    async with Endpoint().serve() as endpoint, running_sidecar(tmp_path, endpoint, **PATIENT) as sidecar:
         assert (await send_request(sidecar.address, request_bytes("look", "t1"))).status == 200
         await publish(
             sidecar, 2, member("s-new", endpoint.address, up_since_ms=NOW_MS - 60_000), complete=False
--- a/tests/sidecar/test_reload.py
+++ b/tests/sidecar/test_reload.py
@@ -124,9 +124,12 @@
 ) -> None:
     """The old service reported a drain, which the new one contradicts until it has caught up.
 
-    A service with other revision numbers is trusted after `catch_up_s`, without another update.
+    A service with other revision numbers is trusted after it was heard for `catch_up_s`, without another
+    update. While it is silent it learns nothing, so its list has no effect (review/7).
     """
-    monkeypatch.setattr(endpoint_registry, "DrainTracker", partial(DrainTracker, int(catch_up_s * 10**9)))
+    monkeypatch.setattr(
+        endpoint_registry, "DrainTracker", partial(DrainTracker, catch_up_ns=int(catch_up_s * 10**9))
+    )
     new_discovery = ScriptedDiscovery()
     drained = Endpoint()
     removed = Endpoint()
@@ -141,7 +144,12 @@
             await move_watch(sidecar, tmp_path, new_discovery)
             new_discovery.send(member_list(48, [*rows, member("s-3", ready.address)]))
             if catch_up_s < 1:
+                await asyncio.sleep(10 * catch_up_s)
+                await wait_until_served_by(sidecar.address, ready)
+                assert not drained.requests
+                heartbeats = asyncio.create_task(send_heartbeats(new_discovery, catch_up_s / 2))
                 await wait_until_served_by(sidecar.address, drained)
+                heartbeats.cancel()
                 return
             await wait_until_served_by(sidecar.address, ready)
             assert not drained.requests
@@ -151,6 +159,13 @@
             assert not drained.requests
 
 
+async def send_heartbeats(service: ScriptedDiscovery, interval_s: float) -> None:
+    """Send empty lines until cancelled."""
+    while True:
+        service.send(b"")
+        await asyncio.sleep(interval_s)
+
+
 async def wait_until_served_by(address: Address, endpoint: Endpoint) -> None:
     """Send more than 30 requests, and further ones until the endpoint has served one; none may fail."""
     count = len(endpoint.requests)
--- a/tests/test_dependencies.py
+++ b/tests/test_dependencies.py
@@ -124,6 +124,7 @@
     "codec/load_report.py",
     "control/generations.py",
     "discovery/address_owners.py",
+    "discovery/contact.py",
     "discovery/drains.py",
     "discovery/repeat_limit.py",
     "discovery/timeouts.py",
