Keep the order of starts before the machine's own

Found by reading, shown by the new test of tests/config, which failed before. A start in monotonic time may be negative now, in place of 1 for all of these; 0 still stands for an unknown one. Only comparisons and ages use it (read: warm-up, slow start, estimates, pools, drains). The test that wanted such a start to be positive asked for the clamp; it compares the exact value now.

--- a/anisespool/balancer/interface.py
+++ b/anisespool/balancer/interface.py
@@ -63,7 +63,7 @@
     machine_type: int
     zone: int
     state: int
-    started_ns: int  # start of the process; 0: long ago
+    started_ns: int  # start of the process, negative before the clock's zero; 0: long ago
 
 
 class EndpointListUpdate(NamedTuple):
--- a/anisespool/config/platform/endpoint_list.py
+++ b/anisespool/config/platform/endpoint_list.py
@@ -83,8 +83,8 @@
     state = ENDPOINT_STATES[raw["phase"]]
     address = _removed_address(raw) if state == EndpointState.GONE else Address.parse(raw["host_port"])
     up_since_ms = int(raw.get("up_since_ms", 0))
-    # The result is in monotonic ns. 0 stands for an unknown start, so a known start is at least 1.
-    started_ns = max(1, up_since_ms * NS_PER_MS - names.monotonic_epoch_ns) if up_since_ms else 0
+    # In monotonic ns, negative for a start before this machine's. 0 stands for an unknown start.
+    started_ns = (up_since_ms * NS_PER_MS - names.monotonic_epoch_ns or 1) if up_since_ms else 0
     zone = names.zone_index(raw.get("locality", ""))
     machine_type = names.machine_type_index(raw.get("flavor", ""))
     weight = float(raw.get("size", 1.0))
--- a/tests/config/test_platform_config.py
+++ b/tests/config/test_platform_config.py
@@ -9,6 +9,7 @@
 import pytest
 
 from anisespool.config.platform import Address, ConfigError, parse_endpoint_list
+from anisespool.config.platform.endpoint_list import NS_PER_MS
 from anisespool.config.platform_loader import load_platform_config
 from anisespool.fakes.platform import member
 from tests.harness.platform_config import NO_LISTENER, write_config
@@ -89,8 +90,19 @@
         for start_ms in (START_MS, START_MS, 0)
     ]
     starts = [update.endpoints[0].listing.started_ns for update in endpoint_lists]
-    assert starts[0] == starts[1] > 0
-    assert starts[2] == 0
+    assert starts == [START_MS * NS_PER_MS - names.monotonic_epoch_ns] * 2 + [0]
+
+
+def test_starts_before_the_machines_own_keep_their_order(tmp_path: Path) -> None:
+    """Of two processes that are older than this machine, the newer one has the address that both name."""
+    names = load_platform_config(write_config(tmp_path, NO_LISTENER, [])).names
+    boot_ms = names.monotonic_epoch_ns // NS_PER_MS
+    starts_ms = (boot_ms - 2_000, boot_ms - 1_000, boot_ms + 1_000)
+    members = [member(f"s-{start_ms}", NO_LISTENER, up_since_ms=start_ms) for start_ms in starts_ms]
+    entries = parse_endpoint_list({"revision": 1, "complete": True, "members": members}, names).endpoints
+    started_ns = [entry.listing.started_ns for entry in entries]
+    assert started_ns == sorted(set(started_ns))
+    assert 0 not in started_ns
 
 
 @pytest.mark.parametrize("text", ["", "host", ":1", "host:", "host:x", "host:65536", "host:-1", None, 7])
--- a/tests/discovery/test_address_owners.py
+++ b/tests/discovery/test_address_owners.py
@@ -23,7 +23,11 @@
 def test_the_latest_start_has_the_address() -> None:
     owners = AddressOwners()
     assert owners.place(0, "old", A, UNKNOWN_START) == set()
-    assert owners.place(0, "new", A, 5) == {"old"}
+    assert owners.place(0, "before boot", A, -5) == {"old"}
+    assert superseded(owners, "old", "before boot") == ["old"]
+    assert owners.place(0, "new", A, 5) == {"old", "before boot"}
+    assert superseded(owners, "old", "before boot") == ["old", "before boot"]
+    owners.remove(0, "before boot")
     assert owners.successor(0, "old") == Successor("new", None)
     assert superseded(owners, "new", "unlisted") == []
     assert owners.place(0, "old", A, 7) == {"new"}
