Lab: report each kind of broken rule, and detect late sends by more than one freeze

The judge excuses those that begin in a reported stall, and a sidecar that sheds load then sends none. - Of each rule only the first violation was kept: any other one of rule 1, such as a request that was not answered in time, hides it (the new unit test failed before). Refuted by a trace: the attempt's own time-out, which resets the connection in the same turn; the bytes arrive all the same, and with that timer cancelled the count is as before.

--- a/anisespool/lab/live/mutated_sidecar.py
+++ b/anisespool/lab/live/mutated_sidecar.py
@@ -31,10 +31,27 @@
 from anisespool.upstream.cluster import Cluster
 
 SEND_DELAY_S = 0.3  # delay of attempts in `send_cancelled_attempts`
+LONG_SEND_DELAY_S = (
+    1.2  # delay of one attempt in MUTATED_ATTEMPT_INTERVAL there, past every client's deadline
+)
+MUTATED_ATTEMPT_INTERVAL = 20
 MUTATED_RESPONSE_INTERVAL = 20  # one response in this many is broken
 CRASH_STATUS = 3
 
 
+class _Counter:
+    """Selects one of `interval` calls."""
+
+    def __init__(self, interval: int) -> None:
+        self._interval = interval
+        self._count = 0
+
+    def is_selected(self) -> bool:
+        """Count a call, and return whether it is to be broken."""
+        self._count += 1
+        return self._count % self._interval == 0
+
+
 def break_nothing() -> None:
     """Leave the program unchanged."""
 
@@ -97,6 +114,7 @@
 
 def send_cancelled_attempts() -> None:
     """Delay attempts, and send them even if they were cancelled meanwhile."""
+    counter = _Counter(MUTATED_ATTEMPT_INTERVAL)
     start = Cluster._start  # behind the gate, which would hold back and drop what was given up
 
     def send_late(self: Cluster, attempt: Attempt) -> None:
@@ -105,36 +123,25 @@
         start(self, attempt)
 
     def send(self: Cluster, attempt: Attempt) -> None:
-        asyncio.get_running_loop().call_later(SEND_DELAY_S, send_late, self, attempt)
+        delay_s = LONG_SEND_DELAY_S if counter.is_selected() else SEND_DELAY_S
+        asyncio.get_running_loop().call_later(delay_s, send_late, self, attempt)
 
     _patch(Cluster, "send", send)
     # Otherwise the check before an attempt begins would end those that were given up.
     _patch(Attempt, "may_begin", lambda attempt: attempt.status is None)
 
 
-class _ResponseCounter:
-    """Selects one response in MUTATED_RESPONSE_INTERVAL."""
-
-    def __init__(self) -> None:
-        self._count = 0
-
-    def should_break(self) -> bool:
-        """Count a response, and return whether to break it."""
-        self._count += 1
-        return self._count % MUTATED_RESPONSE_INTERVAL == 0
-
-
 def swap_response_bodies() -> None:
     """Send the previous response's body in one response in MUTATED_RESPONSE_INTERVAL."""
     original = Proxy._respond
-    counter = _ResponseCounter()
+    counter = _Counter(MUTATED_RESPONSE_INTERVAL)
     last_body = b""
 
     def respond(self: Proxy, exchange: Exchange, response: FinalResponse) -> None:
         nonlocal last_body
         previous_body = last_body
         last_body = response.body
-        if counter.should_break() and response.status == 200:
+        if counter.is_selected() and response.status == 200:
             response = response._replace(body=previous_body)
         original(self, exchange, response)
 
@@ -144,10 +151,10 @@
 def drop_responses() -> None:
     """Send no response to one request in MUTATED_RESPONSE_INTERVAL."""
     original = Proxy._respond
-    counter = _ResponseCounter()
+    counter = _Counter(MUTATED_RESPONSE_INTERVAL)
 
     def respond(self: Proxy, exchange: Exchange, response: FinalResponse) -> None:
-        if counter.should_break():
+        if counter.is_selected():
             exchange.close()
         else:
             original(self, exchange, response)
--- a/anisespool/lab/live/run_result.py
+++ b/anisespool/lab/live/run_result.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass, field
 
 from hdrh.histogram import HdrHistogram
@@ -26,7 +27,7 @@
     begin: int = 0  # when the scenario's own time begins, monotonic ns
     lateness: HdrHistogram = field(default_factory=_microseconds)  # delay of the clients' own sends
     rejections: HdrHistogram = field(default_factory=_microseconds)  # time until an attempt was rejected
-    violations: list[str] = field(default_factory=list)  # the first one of each rule
+    violations: list[str] = field(default_factory=list)  # the first one of each kind
     backend: BackendReport = field(default_factory=BackendReport)
     accounts: list[ProcessAccount] = field(default_factory=list)  # one for each sidecar
     process_faults: list[ProcessFault] = field(default_factory=list)
@@ -53,11 +54,16 @@
         return self.backend.arrivals
 
     def add_violation(self, text: str) -> None:
-        """Record a violation unless there is one of the same rule, whose name `text` begins with."""
-        rule = text.partition(":")[0]
-        if all(not known.startswith(rule) for known in self.violations):
+        """Record a violation unless there is one of its kind, whose text differs in numbers alone."""
+        if _kind(text) not in map(_kind, self.violations):
             self.violations.append(text)
 
     def late_ms(self) -> float:
         """Return the 99th percentile of how late the clients sent their requests, in ms."""
         return float(self.lateness.get_value_at_percentile(99)) / 1000
+
+
+def _kind(violation: str) -> str:
+    """Return a violation's text without its numbers, but for that of the rule."""
+    rule, separator, what = violation.partition(":")
+    return rule + separator + re.sub(r"\d+", "", what)
--- a/tests/lab/test_run_judgement.py
+++ b/tests/lab/test_run_judgement.py
@@ -118,3 +118,16 @@
 def test_an_error_of_the_endpoints_process_is_raised() -> None:
     with pytest.raises(RuntimeError, match="the endpoints' process failed: KeyError"):
         judged(BackendReport(internal_error="KeyError('x')"))
+
+
+def test_a_violation_does_not_hide_another_one_of_its_rule() -> None:
+    """Rule 1 was broken in two ways, and the run reported only the one that was found first."""
+    result = empty_result()
+    result.add_violation("rule 1: wish 5 was not answered in time")
+    result.add_violation("rule 1: wish 6 was not answered in time")
+    late = BackendReport(arrivals=[arrival(deadline=49 * SECOND)] * 2)
+    judge_run(result, late, [ProcessAccount()], [])
+    assert result.violations == [
+        "rule 1: wish 5 was not answered in time",
+        "rule 1: wish 7 was sent on 1000 ms after its client gave up",
+    ]
