--- a/anisespool/agent/control_protocol.py
+++ b/anisespool/agent/control_protocol.py
@@ -123,6 +123,7 @@
         build=_value(report, "build", str),
         drained=_value(report, "drained", list),
         drains_revision=_value(report, "drains_revision", int),
+        drained_by_fleet=tuple(_value(report, "drained_fleet", list)) if "drained_fleet" in report else None,
     )
 
 
--- a/anisespool/agent/desired_state_repository.py
+++ b/anisespool/agent/desired_state_repository.py
@@ -107,6 +107,16 @@
             if delivery.state is not DeliveryState.REJECTED
         }
 
+    async def adopt_drains(self, reported: DrainSet) -> bool:
+        """Replace the drains by those that instances report at a higher revision; return whether they were.
+
+        Otherwise the next drain or undrain would end those that a lost store held.
+        """
+        if reported.revision <= self.desired.drains.revision:
+            return False
+        self.desired.drains = await self._store.execute(lambda db: drain_table.adopt_drains(db, reported))
+        return self.desired.drains.revision == reported.revision
+
     async def update_drains(
         self, drain: Sequence[str], undrain: Sequence[str], author: str, highest_observed: int
     ) -> DrainSet:
--- a/anisespool/agent/fleet_status.py
+++ b/anisespool/agent/fleet_status.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from anisespool.agent.control_client import ControlClient, Reachability
-from anisespool.agent.desired_state import DesiredState
+from anisespool.agent.desired_state import DesiredState, DrainSet
 from anisespool.agent.instance_directory import InstanceDirectory
 from anisespool.agent.rollout.status import RolloutStatus
 from anisespool.agent.rollout.status_by_report import status_by_report
@@ -67,6 +67,16 @@
         states = [client.state for client in self._directory.clients.values()]
         return max((state.drains_revision for state in states if state), default=0)
 
+    def newest_reported_drains(self) -> DrainSet:
+        """Return the fleet's drains at the highest revision in the last report of any instance."""
+        states = [client.state for client in self._directory.clients.values()]
+        reported = [
+            DrainSet(state.drains_revision, state.drained_by_fleet)
+            for state in states
+            if state and state.drained_by_fleet is not None
+        ]
+        return max(reported, key=lambda drains: drains.revision, default=DrainSet(0, ()))
+
     def status_of(self, client: ControlClient) -> RolloutStatus | None:
         """Return the status of an instance for the newest change; None if there is no change."""
         newest = self._desired.newest
--- a/anisespool/agent/instance_state.py
+++ b/anisespool/agent/instance_state.py
@@ -20,6 +20,7 @@
         build: Version of the instance.
         drained: Ids of the endpoints that the instance drains.
         drains_revision: Revision of the fleet's drains that the instance has applied.
+        drained_by_fleet: Ids of the endpoints that these drain; None if its build does not report them.
     """
 
     name: str
@@ -32,6 +33,7 @@
     build: str
     drained: list[str]
     drains_revision: int
+    drained_by_fleet: tuple[str, ...] | None = None
 
     @property
     def is_shutting_down(self) -> bool:
--- a/anisespool/agent/operator_commands.py
+++ b/anisespool/agent/operator_commands.py
@@ -101,6 +101,10 @@
         self._reconciler.wake()
         return replace(newest, state=state)
 
+    async def adopt_reported_drains(self) -> None:
+        """Take over the drains of the instances if these have a higher revision than the store."""
+        await self._reconciler.adopt_reported_drains()
+
     async def update_drains(self, drain: Sequence[str], undrain: Sequence[str], author: str) -> DrainSet:
         """Drain and undrain endpoints on every instance, and start to send the new set of drains."""
         highest_observed = self._status.highest_drains_revision()
--- a/anisespool/agent/reconciler.py
+++ b/anisespool/agent/reconciler.py
@@ -79,6 +79,12 @@
         """Wait for the end of the change deliveries that are currently in flight."""
         await self._sender.in_flight.wait_until_idle()
 
+    async def adopt_reported_drains(self) -> None:
+        """Take over the drains of the instances if these have a higher revision than the store."""
+        reported = self.status.newest_reported_drains()
+        if await self._repository.adopt_drains(reported):
+            log_event("drains_adopted", revision=reported.revision, endpoint=",".join(reported.endpoints))
+
     def send_drains(self) -> None:
         """Start to send the drains to each instance that reports an older revision."""
         self._drain_sender.send_to_outdated(self.status.reachable_targets(), self.desired.drains)
@@ -111,6 +117,7 @@
 
     async def _reconcile(self) -> None:
         """Compare the desired with the observed state once, and start to send what is missing."""
+        await self.adopt_reported_drains()
         self.send_drains()
         newest = self.desired.newest
         if newest is None:
--- a/anisespool/agent/service.py
+++ b/anisespool/agent/service.py
@@ -5,6 +5,7 @@
 import asyncio
 import fnmatch
 import json
+import sqlite3
 import time
 from collections.abc import AsyncIterator, Iterator
 from contextlib import aclosing, contextmanager
@@ -228,6 +229,10 @@
 
     async def _start_drain(self, request: pb.DrainRequest) -> int:
         """Record the drains, start to send them, and return their revision."""
+        try:
+            await self._commands.adopt_reported_drains()
+        except sqlite3.Error as error:
+            raise StoreUnavailableError(error) from error
         drained = validation.drained_after(request, self._desired.drains.endpoints)
         if request.drain and not request.force:
             await fan_out.check_drains_on_each(self._status.reachable_targets(), drained)
--- a/anisespool/agent/store/drain_table.py
+++ b/anisespool/agent/store/drain_table.py
@@ -12,6 +12,7 @@
 from anisespool.agent.wall_clock import wall_ms
 
 REVISION_MARK = "drains_revision"  # name of the revision's row in `marks`
+ADOPTED_AUTHOR = "reported by an instance"
 
 
 def load_drains(db: sqlite3.Connection) -> DrainSet:
@@ -21,6 +22,19 @@
     return DrainSet(revision, tuple(endpoint for (endpoint,) in rows))
 
 
+def adopt_drains(db: sqlite3.Connection, reported: DrainSet) -> DrainSet:
+    """Replace the set by one that instances report at a higher revision, and return the resulting set.
+
+    The store is older than what the instances were sent if it was lost, or restored from a backup.
+    """
+    if reported.revision > load_drains(db).revision:
+        db.execute("DELETE FROM drains")
+        rows = [(endpoint, ADOPTED_AUTHOR, wall_ms()) for endpoint in reported.endpoints]
+        db.executemany("INSERT INTO drains (endpoint, author, at_ms) VALUES (?, ?, ?)", rows)
+        db.execute("UPDATE marks SET value = ? WHERE name = ?", (reported.revision, REVISION_MARK))
+    return load_drains(db)
+
+
 def update_drains(
     db: sqlite3.Connection, drain: Iterable[str], undrain: Iterable[str], author: str, highest_observed: int
 ) -> DrainSet:
--- a/anisespool/fakes/instance.py
+++ b/anisespool/fakes/instance.py
@@ -122,6 +122,7 @@
             "generation": self.generation,
             "digest": self.digest,
             "drained": self.drained,
+            "drained_fleet": self.drained,
             "drains_revision": self.drains_revision,
         }
 
--- a/tests/agent/test_service.py
+++ b/tests/agent/test_service.py
@@ -60,6 +60,38 @@
         assert [instance.drained for instance in instances.values()] == [["s-1"]] * 3
 
 
+async def test_a_drain_outlasts_the_loss_of_the_store(harness: AgentHarness) -> None:
+    """review/10: with an empty store the next drain replaced the set that the instances had."""
+    await harness.start_instances("i0", "i1")
+    instances = harness.instances
+    async with harness.agent() as stub:
+        await last_message(stub.Drain(pb.DrainRequest(drain=["s-1"])))
+    assert harness.config.agent
+    for path in Path(harness.config.agent.state_directory).glob("agent.db*"):
+        path.rename(path.with_name(f"lost-{path.name}"))
+    async with harness.agent() as stub:
+        last = await last_message(stub.Drain(pb.DrainRequest(drain=["s-2"])))
+        assert list(last.drains) == ["s-1", "s-2"]
+        await wait_until(lambda: all(one.drained == ["s-1", "s-2"] for one in instances.values()))
+        await harness.start_instances("i2")  # A new instance gets the drains, too.
+        await wait_until(lambda: instances["i2"].drained == ["s-1", "s-2"])
+        await last_message(stub.Drain(pb.DrainRequest(undrain=["s-1"])))
+        await wait_until(lambda: all(one.drained == ["s-2"] for one in instances.values()))
+    harness.stop_instances()
+
+
+async def test_the_store_takes_over_reported_drains_without_a_command(harness: AgentHarness) -> None:
+    """An instance that starts after the loss of the store would not drain what the others do."""
+    await harness.start_instances("i0")
+    harness.instances["i0"].drained = ["s-1"]
+    harness.instances["i0"].drains_revision = 7
+    async with harness.agent() as stub:
+        await harness.start_instances("i1")
+        await wait_until(lambda: harness.instances["i1"].drained == ["s-1"])
+        assert list((await stub.Status(pb.StatusRequest())).drains) == ["s-1"]
+    harness.stop_instances()
+
+
 async def test_other_entries_of_the_control_directory_are_ignored(harness: AgentHarness) -> None:
     harness.configure(most_instances=30)
     await harness.start_instances("good")
