Do not take a request's wait in the sidecar for its client's own retries

Change: the wait is passed on beside the time left, and the detection adds it. The wait still counts against the objective. The new test needs the new field; without the addition in client_retries it fails (the sidecar rejects).

--- a/anisespool/balancer/balancer.py
+++ b/anisespool/balancer/balancer.py
@@ -137,7 +137,7 @@
 
     def _on_request(self, event: api.RequestArrived) -> None:
         request_class = self.settings.classes[event.class_index]
-        waited_ns = self._client_retries.waited_ns(event)
+        waited_ns = self._client_retries.waited_ns(event) + event.queued_ns
         deadlines = Deadlines(event, request_class, waited_ns, self.now)
         request = PendingRequest(event, request_class, deadlines, self.now, self.open_requests)
         self.pending[event.request] = request
--- a/anisespool/balancer/deadlines.py
+++ b/anisespool/balancer/deadlines.py
@@ -33,7 +33,8 @@
     ) -> None:
         """Set the instants of a request that arrives at `now`.
 
-        Its client spent `waited_ns` on earlier attempts (retry/client_retries.py).
+        Until then `waited_ns` went on the client's earlier attempts (retry/client_retries.py) and on its wait
+        in the sidecar.
         """
         stretch_ns = int(request_class.objective_stretch * (event.work_hint_ns or 0))
         target_ns = request_class.target_ns + stretch_ns
--- a/anisespool/balancer/interface.py
+++ b/anisespool/balancer/interface.py
@@ -85,6 +85,7 @@
     tenant: int = 0  # index into the settings' tenants
     is_retry: bool = False
     is_write: bool = False
+    queued_ns: int = 0  # time that it has waited in the sidecar, already taken off `remaining_ns`
 
 
 class FirstByteReceived(NamedTuple):
--- a/anisespool/balancer/retry/client_retries.py
+++ b/anisespool/balancer/retry/client_retries.py
@@ -11,18 +11,18 @@
 MIN_MAJORITY_VOTES = 4  # lead from which on a class's usual time counts as known
 
 
-class RemainingTimeVote:
+class GivenTimeVote:
     """A Boyer-Moore majority vote on the time that clients give requests of one class.
 
     Attributes:
-        remaining_ns: The candidate: the usual time.
+        given_ns: The candidate: the usual time.
         lead: Votes for the candidate minus votes for all other times.
     """
 
-    __slots__ = ("remaining_ns", "lead")
+    __slots__ = ("given_ns", "lead")
 
     def __init__(self) -> None:
-        self.remaining_ns = 0
+        self.given_ns = 0
         self.lead = 0
 
 
@@ -31,17 +31,19 @@
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
-        self._votes_by_class = [RemainingTimeVote() for _ in settings.classes]
+        self._votes_by_class = [GivenTimeVote() for _ in settings.classes]
 
     def waited_ns(self, event: RequestArrived) -> int:
         """Count a request's vote, and return how long its client has waited; 0 for a first attempt."""
         class_index = event.class_index
         vote = self._votes_by_class[class_index]
         lead = vote.lead
+        # A wait in the sidecar says nothing about the client, so it counts as time that the client gave.
+        given_ns = event.remaining_ns + event.queued_ns
         if not lead:
-            vote.remaining_ns = event.remaining_ns
-        is_usual = abs(event.remaining_ns - vote.remaining_ns) <= self._settings.resolution_ns
+            vote.given_ns = given_ns
+        is_usual = abs(given_ns - vote.given_ns) <= self._settings.resolution_ns
         vote.lead = min(lead + 1, MAX_VOTES) if is_usual else lead - 1
         if is_usual or lead < MIN_MAJORITY_VOTES:
             return 0
-        return max(0, self._settings.classes[class_index].deadline_ns - event.remaining_ns)
+        return max(0, self._settings.classes[class_index].deadline_ns - given_ns)
--- a/anisespool/listener/connection.py
+++ b/anisespool/listener/connection.py
@@ -316,7 +316,7 @@
             return
         waited_ns = time.monotonic_ns() - received_ns
         if waited_ns > MIN_QUEUE_WAIT_NS:
-            call = call._replace(timeout_ns=call.timeout_ns - waited_ns)
+            call = call._replace(timeout_ns=call.timeout_ns - waited_ns, queued_ns=waited_ns)
             if call.timeout_ns <= 0:
                 self._refuse(responses.NO_TIME, request)
                 return
--- a/anisespool/proxy/call.py
+++ b/anisespool/proxy/call.py
@@ -25,13 +25,15 @@
     tenant: int
     """Index of the tenant. For an unknown tenant it is the number of known tenants."""
     timeout_ns: int
-    """How long the client waits for the response."""
+    """How long the client still waits for the response."""
     size_hint_ns: int | None
     """Expected work on a standard core, or None without a hint."""
     affinity_key: int
     """Digest of the key by which requests are sent to the same endpoint or kept in order; 0 without a key."""
     is_retry: bool
     """Whether the client marked the request as its own retry."""
+    queued_ns: int = 0
+    """How long the request waited in the listener, already taken off `timeout_ns`."""
 
     @property
     def trace_id(self) -> bytes:
--- a/anisespool/proxy/proxy.py
+++ b/anisespool/proxy/proxy.py
@@ -112,6 +112,7 @@
                 call.affinity_key,
                 call.tenant,
                 call.is_retry,
+                queued_ns=call.queued_ns,
             )
         )
         return request_id
--- a/tests/balancer/test_load_shedding.py
+++ b/tests/balancer/test_load_shedding.py
@@ -35,6 +35,16 @@
     assert send.timeout_ns == 200 * MS
 
 
+def test_a_wait_in_the_sidecar_is_not_taken_for_a_client_retry() -> None:
+    """Beside load a first attempt that had waited 10 ms counted as a retry of 0.8 s, and was rejected."""
+    sidecar = Sidecar([listed(1), listed(2)])
+    for _ in range(5):
+        [send] = sends(sidecar.request(2, left_ns=1200 * MS))
+        sidecar.outcome(send)
+    [send] = sends(sidecar.request(2, left_ns=1190 * MS, queued_ns=10 * MS))
+    assert send.timeout_ns == 690 * MS
+
+
 def test_clients_with_varying_timeouts_are_not_taken_for_retries() -> None:
     """A third of the first attempts at an idle site was rejected when they were taken for retries."""
     sidecar = Sidecar([listed(1), listed(2)])
