Read endpoints' answers into a shared buffer, in place of 256 KiB for each read

A profile of 4,000 requests: recv on endpoints' connections took 42 to 50 us a call, 6 us at, though called as often; asyncio allocates 256 KiB for each read, which the allocator gives back to the kernel and takes again since the listener reads into a buffer of its own. Change: connections to endpoints are BufferedProtocols with one buffer of 64 KiB for all, as those to clients are.

--- a/anisespool/upstream/connection.py
+++ b/anisespool/upstream/connection.py
@@ -28,7 +28,7 @@
 RESPONSE_HEADERS = frozenset((LOAD_REPORT_HEADER, NEVER_RAN_HEADER))
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """A connection and the attempt that it carries, if any.
 
     The high-water mark of the transport's write buffer is 0, so that `pause_writing` and `resume_writing`
@@ -116,8 +116,16 @@
         """Close the endpoint's idle connections if it has sent nothing since `since_ns` (monotonic)."""
         self._pool.close_idle_if_silent(since_ns)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read, which all connections share: it is emptied at once.
+
+        Without it asyncio would allocate 256 KiB for each read, which costs more than the read itself.
+        """
+        return self._pool.settings.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parse the response, and end the attempt once the response is complete or invalid."""
+        data = bytes(self._pool.settings.read_buffer[:nbytes])
         self._pool.last_received_ns = time.monotonic_ns()
         if self._attempt is None or self._parser is None:
             self.abort()  # unsolicited data
--- a/anisespool/upstream/connection_settings.py
+++ b/anisespool/upstream/connection_settings.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from anisespool.buffer_budget import BufferBudget
 from anisespool.input_scheduler import InputScheduler
 
+READ_BYTES = 64 * 1024  # limit on one read
+
+
+def _read_buffer() -> memoryview:
+    return memoryview(bytearray(READ_BYTES))
+
 
 @dataclass(slots=True)
 class ConnectionSettings:
@@ -26,3 +32,5 @@
     """What connections hold in memory, and its limit."""
     scheduler: InputScheduler
     """Shares the event loop between connections with input."""
+    read_buffer: memoryview = field(default_factory=_read_buffer)
+    """Buffer for the read of any connection, which takes its content at once."""
