--- a/anisespool/proxy/endpoint_registry.py
+++ b/anisespool/proxy/endpoint_registry.py
@@ -134,6 +134,7 @@
         self._log_change(number, endpoint_id, EndpointState.GONE)
         self._listed.pop(endpoint_id, None)
         self._contradicted.discard(endpoint_id)
+        self._reapply_schedule.cancel(endpoint_id)
         self._address_owners.remove(time.monotonic_ns(), endpoint_id)
         self.ready_numbers.discard(number)
         self._cluster.remove(number)
