--- a/anisespool/agent/fleet_status.py
+++ b/anisespool/agent/fleet_status.py
@@ -8,6 +8,7 @@
 from anisespool.agent.control_client import ControlClient, Reachability
 from anisespool.agent.desired_state import DesiredState, DrainSet
 from anisespool.agent.instance_directory import InstanceDirectory
+from anisespool.agent.instance_state import InstanceState
 from anisespool.agent.rollout.status import RolloutStatus
 from anisespool.agent.rollout.status_by_report import status_by_report
 
@@ -59,24 +60,25 @@
 
     def highest_generation(self) -> int:
         """Return the highest generation in the last report of any instance; 0 if there is no report."""
-        states = [client.state for client in self._directory.clients.values()]
-        return max((state.generation for state in states if state), default=0)
+        return max((state.generation for state in self._last_reports()), default=0)
 
     def highest_drains_revision(self) -> int:
         """Return the highest drains revision in the last report of any instance; 0 if there is no report."""
-        states = [client.state for client in self._directory.clients.values()]
-        return max((state.drains_revision for state in states if state), default=0)
+        return max((state.drains_revision for state in self._last_reports()), default=0)
 
     def newest_reported_drains(self) -> DrainSet:
         """Return the fleet's drains at the highest revision in the last report of any instance."""
-        states = [client.state for client in self._directory.clients.values()]
-        reported = [
+        reported = (
             DrainSet(state.drains_revision, state.drained_by_fleet)
-            for state in states
-            if state and state.drained_by_fleet is not None
-        ]
+            for state in self._last_reports()
+            if state.drained_by_fleet is not None
+        )
         return max(reported, key=lambda drains: drains.revision, default=DrainSet(0, ()))
 
+    def _last_reports(self) -> list[InstanceState]:
+        """Return the last report of each instance that has reported."""
+        return [client.state for client in self._directory.clients.values() if client.state]
+
     def status_of(self, client: ControlClient) -> RolloutStatus | None:
         """Return the status of an instance for the newest change; None if there is no change."""
         newest = self._desired.newest
