Tests of reused addresses: one set-up, as three tests repeated it

Change: replacement() starts sidecar, endpoint and second discovery service; publishing, moving the watch and settling are methods. Cases and assertions are the same.

--- a/tests/proxy/test_address_reuse.py
+++ b/tests/proxy/test_address_reuse.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
 
@@ -69,10 +71,17 @@
 
 
 class Replacement:
-    """An endpoint whose address is listed for `s-0`, which has ended, and for `s-new`, which runs there."""
+    """An endpoint whose address is listed for `s-0`, which has ended, and for `s-new`, which runs there.
 
-    def __init__(self, sidecar: RunningSidecar, endpoint: Endpoint) -> None:
+    `move_watch` gives the sidecar another discovery service, and sends the list that this one has.
+    """
+
+    def __init__(
+        self, folder: Path, sidecar: RunningSidecar, endpoint: Endpoint, other_discovery: ScriptedDiscovery
+    ) -> None:
         self.sidecar = sidecar
+        self.other_discovery = other_discovery
+        self._folder = folder
         self.old = member("s-0", endpoint.address)
         self.new = member("s-new", endpoint.address, up_since_ms=NOW_MS - 60_000)
         self.draining = self.new | {"phase": "draining"}
@@ -82,6 +91,14 @@
     async def publish(self, revision: int, *members: dict[str, Any], complete: bool = False) -> None:
         await publish(self.sidecar, revision, *members, complete=complete)
 
+    async def move_watch(self, revision: int, *members: dict[str, Any]) -> None:
+        await move_watch(self.sidecar, self._folder, self.other_discovery)
+        await self.publish_by_other(revision, *members, complete=True)
+
+    async def publish_by_other(self, revision: int, *members: dict[str, Any], complete: bool = False) -> None:
+        self.other_discovery.send(member_list(revision, list(members), complete))
+        await asyncio.sleep(SETTLE_S)
+
     async def reopen_watch(self, *, by_reset: bool) -> None:
         """End the open watch, and wait for the next one."""
         connections = self.sidecar.discovery.connections
@@ -92,6 +109,10 @@
             connections[-1].writer.close()
         await wait_until(lambda: len(connections) > watch_count)
 
+    @property
+    def connection_count(self) -> int:
+        return len(self._endpoint.connections)
+
     async def is_used(self) -> bool:
         """Send a request, and return whether it was served; the process gets none that is not served."""
         count = len(self._endpoint.requests)
@@ -100,6 +121,17 @@
         return response.status == 200
 
 
+@asynccontextmanager
+async def replacement(folder: Path, **changes: Any) -> AsyncIterator[Replacement]:
+    """Run a sidecar that lists `s-0`, and a second discovery service, which it does not watch yet."""
+    async with (
+        Endpoint().serve() as endpoint,
+        ScriptedDiscovery().serve() as other_discovery,
+        running_sidecar(folder, endpoint, **changes) as sidecar,
+    ):
+        yield Replacement(folder, sidecar, endpoint, other_discovery)
+
+
 @pytest.mark.parametrize(
     "path",
     [
@@ -120,13 +152,7 @@
     tmp_path: Path, path: str
 ) -> None:
     """review/9: the newer process was forgotten with its entry, and the dead endpoint's id was used again."""
-    other_discovery = ScriptedDiscovery()
-    async with (
-        Endpoint().serve() as endpoint,
-        other_discovery.serve(),
-        running_sidecar(tmp_path, endpoint) as sidecar,
-    ):
-        case = Replacement(sidecar, endpoint)
+    async with replacement(tmp_path) as case:
         if path != "never_listed":
             await case.publish(2, case.new)
             assert await case.is_used()
@@ -146,9 +172,7 @@
                 await case.reopen_watch(by_reset=path == "watch_reset")
                 await case.publish(3, case.old, complete=True)
             case "sighup" | "sighup_to_an_older_list":
-                await move_watch(sidecar, tmp_path, other_discovery)
-                other_discovery.send(member_list(1 if path == "sighup_to_an_older_list" else 3, [case.old]))
-                await asyncio.sleep(SETTLE_S)
+                await case.move_watch(1 if path == "sighup_to_an_older_list" else 3, case.old)
             case "removed_twice":
                 await case.publish(3, case.removed, case.old | {"phase": "removed"})
                 await case.publish(4, case.old)
@@ -159,8 +183,7 @@
 @pytest.mark.parametrize("returning", ["same process", "restarted", "old id, newer", "other id, newer"])
 async def test_what_comes_back_newer_is_used_again(tmp_path: Path, complete: bool, returning: str) -> None:
     """A withdrawn process must not make its address useless for those that come after it."""
-    async with Endpoint().serve() as endpoint, running_sidecar(tmp_path, endpoint) as sidecar:
-        case = Replacement(sidecar, endpoint)
+    async with replacement(tmp_path) as case:
         await case.publish(2, case.new)
         await case.publish(3, case.old, complete=True)
         assert not await case.is_used()
@@ -179,8 +202,7 @@
 ) -> None:
     """The clock of a newer process's machine may be behind; its entry must not wait for another update."""
     monkeypatch.setattr(address_owners, "WITHDRAWN_PROCESS_LIFETIME_NS", 300_000_000)
-    async with Endpoint().serve() as endpoint, running_sidecar(tmp_path, endpoint) as sidecar:
-        case = Replacement(sidecar, endpoint)
+    async with replacement(tmp_path) as case:
         await case.publish(2, case.new)
         await case.publish(3, case.removed)
         withdrawn_s = time.monotonic() - SETTLE_S
@@ -191,40 +213,23 @@
 
 async def test_the_start_of_an_older_list_does_not_replace_a_newer_one(tmp_path: Path) -> None:
     """A list that is behind would make a warming endpoint count as warm, and close its connections."""
-    other_discovery = ScriptedDiscovery()
-    async with (
-        Endpoint().serve() as endpoint,
-        other_discovery.serve(),
-        running_sidecar(tmp_path, endpoint, **PATIENT) as sidecar,
-    ):
-        case = Replacement(sidecar, endpoint)
+    async with replacement(tmp_path, **PATIENT) as case:
         await case.publish(5, case.old | {"up_since_ms": NOW_MS - 60_000})
         assert await case.is_used()
-        await move_watch(sidecar, tmp_path, other_discovery)
-        other_discovery.send(member_list(4, [case.old]))
-        await asyncio.sleep(SETTLE_S)
+        await case.move_watch(4, case.old)
         assert await case.is_used()
-        assert len(endpoint.connections) == 1
+        assert case.connection_count == 1
 
 
 async def test_a_drain_outlasts_a_list_from_before_the_last_start(tmp_path: Path) -> None:
     """review/8: the earlier start of a list that was behind was taken for a restart and ended the drain."""
-    other_discovery = ScriptedDiscovery()
-    async with (
-        Endpoint().serve() as endpoint,
-        other_discovery.serve(),
-        running_sidecar(tmp_path, endpoint) as sidecar,
-    ):
-        case = Replacement(sidecar, endpoint)
+    async with replacement(tmp_path) as case:
         restarted = case.old | {"up_since_ms": NOW_MS - 60_000}
         await case.publish(5, restarted)
         await case.publish(6, restarted | {"phase": "draining"})
-        await move_watch(sidecar, tmp_path, other_discovery)
-        other_discovery.send(member_list(4, [case.old]))
-        await asyncio.sleep(SETTLE_S)
+        await case.move_watch(4, case.old)
         assert not await case.is_used()
-        other_discovery.send(member_list(6, [restarted], complete=False))
-        await asyncio.sleep(SETTLE_S)
+        await case.publish_by_other(6, restarted)
         assert await case.is_used()
 
 
