Test of stopped rollouts: hold the first change by a gate in place of 0.2 s

Cause: the test had 0.2 s between the arrival of the first change and its answer to stop the rollout in; with a sleep of 0.25 s before the call the rollout is settled and the call fails, each time. Change: the fake instance's change_gate holds the first change until the call has returned; the request timeout is longer, as the time is no longer bounded. The assertions are the same.

--- a/anisespool/fakes/instance.py
+++ b/anisespool/fakes/instance.py
@@ -20,6 +20,25 @@
 
 EMPTY_CONTENT_DIGEST = content_digest({})
 CONTROL_VERSION = 1
+APPLY_TARGET = b"/v1/apply"
+
+
+class ChangeGate:
+    """Holds changes back between their arrival at an instance and its response.
+
+    Attributes:
+        arrived: Set once a change has arrived.
+        opened: Set it to let changes be applied and answered.
+    """
+
+    def __init__(self) -> None:
+        self.arrived = asyncio.Event()
+        self.opened = asyncio.Event()
+
+    async def pass_change(self) -> None:
+        """Wait until the gate is open."""
+        self.arrived.set()
+        await self.opened.wait()
 
 
 @dataclass(slots=True)
@@ -33,6 +52,8 @@
     """Bytes that are sent in place of each response; empty: none."""
     rejection: str = ""
     """Text with which every change is rejected; empty: none is rejected."""
+    change_gate: ChangeGate | None = None
+    """Gate that each change passes before it is applied; other requests do not."""
     max_acknowledged: int | None = None
     """Number of acknowledged changes. Later ones are applied, and the connection is closed unanswered."""
 
@@ -134,6 +155,8 @@
                 if self.faults.is_silent:
                     await asyncio.Event().wait()
                 await asyncio.sleep(self.faults.response_delay_s)
+                if self.faults.change_gate and request.target == APPLY_TARGET:
+                    await self.faults.change_gate.pass_change()
                 if self.faults.raw_response:
                     writer.write(self.faults.raw_response)
                     continue
@@ -149,9 +172,9 @@
     def _reply_to(self, request: http1.Request) -> Reply | None:
         """Return the response to a request; None: close the connection without one."""
         body = json.loads(request.body) if request.body else {}
-        target = request.target.decode()
-        if target == "/v1/apply":
+        if request.target == APPLY_TARGET:
             return self._apply(body)
+        target = request.target.decode()
         if target == "/v1/validate" and self.faults.rejection:
             return _error_reply(400, "invalid", self.faults.rejection)
         if target == "/v1/endpoints/drained":
--- a/tests/agent/test_changes.py
+++ b/tests/agent/test_changes.py
@@ -15,6 +15,7 @@
 from anisespool.agent.rollout.planner import RolloutStep, next_step
 from anisespool.agent.store import change_table
 from anisespool.agent.v1 import agent_pb2 as pb
+from anisespool.fakes.instance import ChangeGate
 from tests.agent.harness import (
     CONTENT,
     AgentHarness,
@@ -30,6 +31,7 @@
 from tests.harness.waiting import wait_until
 
 DELAYED_READ_TIMEOUT_S = 10.0
+CHANGE_TIMEOUT_S = 10.0  # a held change must not time out before the rollout is stopped
 
 
 async def test_a_change_is_sent_in_waves_and_applied_once_by_each_instance(harness: AgentHarness) -> None:
@@ -111,13 +113,15 @@
     harness: AgentHarness, action: pb.Deed
 ) -> None:
     """An aborted change still reached each instance of the wave whose request had to wait."""
-    harness.configure(at_once=1)
+    harness.configure(at_once=1, answer_s=CHANGE_TIMEOUT_S)
     async with harness.agent_with_instances(4) as stub:
         first, *waiting = harness.instances.values()
-        first.faults.response_delay_s = 0.2
+        first.faults.change_gate = gate = ChangeGate()
         rollout = asyncio.create_task(apply(stub))
+        await gate.arrived.wait()
         await wait_for_statuses(stub, dict.fromkeys(harness.instances, "sent"))
         await stub.Steer(pb.SteerRequest(deed=action, author="t"))
+        gate.opened.set()
         await rollout
         while "sent" in (reached := await statuses(stub)).values():
             await asyncio.sleep(0.02)
