Tests of real processes: a void run is played again alone among all workers

Change: first runs hold a lock that all workers share, a replay holds it exclusively. What counts as void, and the number of replays, is as before.

--- a/tests/harness/void_runs.py
+++ b/tests/harness/void_runs.py
@@ -1,15 +1,24 @@
-"""Runs several sets of real processes concurrently, and repeats alone those that the machine disturbed."""
+"""Runs several sets of real processes concurrently, and repeats alone those that the machine disturbed.
+
+"Alone" holds for all workers of a test run: they share one lock, the file of this module. First runs hold it
+shared, a replay exclusively.
+"""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Sequence
+import fcntl
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from contextlib import asynccontextmanager
+from pathlib import Path
 from typing import TypeVar
 
 from anisespool.lab.model.metrics import VoidError
 
 MAX_REPLAYS = 4
 """Maximum number of repetitions of one run."""
+RUNS_LOCK_FILE = Path(__file__)
+"""File that all workers of a test run lock while they play."""
 
 Result = TypeVar("Result")
 
@@ -19,7 +28,8 @@
 
     All runs share this process's event loop. Starting the processes of one blocks it for up to 150 ms (longer
     on a slower machine), and the clients of the other runs send late meanwhile. Such a run is void: it gives
-    no verdict on the program. It is played again after the others, with no other run at the same time.
+    no verdict on the program. It is played again after the others, with no other run at the same time, in
+    this process or in another worker of the test run.
 
     Raises:
         VoidError: A run was void each time, including its last replay.
@@ -30,8 +40,9 @@
         async with gate:
             return await play()
 
-    # An error of one run does not cancel the others, which may be starting or ending their processes.
-    outcomes = await asyncio.gather(*map(play_in_turn, plays), return_exceptions=True)
+    async with _runs_lock(fcntl.LOCK_SH):
+        # An error of one run does not cancel the others, which may be starting or ending their processes.
+        outcomes = await asyncio.gather(*map(play_in_turn, plays), return_exceptions=True)
     return [await _replay_while_void(play, first) for play, first in zip(plays, outcomes, strict=True)]
 
 
@@ -53,9 +64,18 @@
             break
         print(f"void, played again alone ({replay} of {MAX_REPLAYS}): {outcome}")
         try:
-            outcome = await play()
+            async with _runs_lock(fcntl.LOCK_EX):
+                outcome = await play()
         except VoidError as error:
             outcome = error
     if isinstance(outcome, BaseException):
         raise outcome
     return outcome
+
+
+@asynccontextmanager
+async def _runs_lock(mode: int) -> AsyncIterator[None]:
+    """Hold the lock on runs of real processes, shared (`LOCK_SH`) or exclusively (`LOCK_EX`)."""
+    with RUNS_LOCK_FILE.open("rb") as file:  # noqa: ASYNC230 - a local file, opened once a run
+        await asyncio.to_thread(fcntl.flock, file, mode)
+        yield
