Forget a paused connection whose client has left before its input had its turn

Callers saw nothing; the process kept each such connection, with its parser, for as long as it ran, and looked at all of them every 0.1 s. Cause: reading pauses while input waits for its turn. If the client leaves then, the connection is taken out of the table's paused ones, but the turn of its input comes later, and _update_reading added whatever connection was paused, a closed one too. Change: the table changes only when reading is paused or resumed, which a closed transport never is. Measured: test_a_connection_whose_client_left_before_its_input_had_its_turn_is_forgotten failed before and passes; the file's other cases pass.

--- a/anisespool/listener/connection.py
+++ b/anisespool/listener/connection.py
@@ -225,10 +225,11 @@
         if not self._reading:
             return
         has_work = not self._input.is_parsed or self._is_waiting_to_read or self._is_output_full
+        was_paused = self._reading.is_paused
         self._reading.update(may_read=self._closing or not has_work)
-        if self._reading.is_paused:
+        if self._reading.is_paused and not was_paused:
             self._table.paused.add(self)
-        else:
+        elif was_paused and not self._reading.is_paused:
             self._table.paused.discard(self)
 
     def _update_held(self) -> None:
--- a/tests/listener/test_client_disconnect.py
+++ b/tests/listener/test_client_disconnect.py
@@ -13,6 +13,8 @@
 
 from anisespool.fakes.endpoint import Endpoint
 from anisespool.fakes.server import reset
+from anisespool.input_scheduler import InputHandler, InputScheduler
+from anisespool.listener.connection import ClientConnection
 from anisespool.listener.server import Server
 from tests.harness.client import request_bytes, send_request
 from tests.harness.connection_internals import transport_of
@@ -132,3 +134,27 @@
         await wait_until(lambda: not unfinished_work(servers[0]))
         assert (await send_request(sidecar.address, request_bytes("look", "t1"))).status == 200
         assert [r.headers[b"x-trace-id"] for r in endpoint.requests] == [b"t1"]
+
+
+class DeferringScheduler(InputScheduler):
+    """Handles no input by itself, as if the input of others always came first."""
+
+    def submit(self, handler: InputHandler, is_short: bool) -> None:
+        """Leave the input to be handled by the test."""
+
+
+async def test_a_connection_whose_client_left_before_its_input_had_its_turn_is_forgotten(
+    tmp_path: Path, servers: list[Server]
+) -> None:
+    """It stayed in the table of paused connections for as long as the process ran."""
+    async with Endpoint().serve() as endpoint, running_sidecar(tmp_path, endpoint) as sidecar:
+        _, writer = await idle_connection(sidecar)
+        (connection,) = servers[0].connections
+        servers[0].scheduler = DeferringScheduler()
+        writer.write(request_bytes("once", "t2"))
+        await wait_until(lambda: connection in servers[0].table.paused)
+        writer.close()
+        await wait_until(lambda: not servers[0].connections)
+        assert isinstance(connection, ClientConnection)
+        connection.handle_input()
+        assert not servers[0].table.paused
