Listener: fewer calls for a request that is read whole

Change: the memory of a pipelined request is computed once; the write buffer is asked only after pause_writing; whether a further request may start is decided once a step; the loop's delay is one comparison in the ordinary case (is_on_time); reading is updated a second time only if input waits.

--- a/anisespool/listener/connection.py
+++ b/anisespool/listener/connection.py
@@ -58,6 +58,7 @@
         self._reading: Reading | None = None
         self._input = ReceivedInput(listener.budget)
         self._held = BufferHolder(listener.budget)  # besides the input
+        self._has_unsent_output = False
         self._read_limit = 0
         self._is_submitted = False  # to the input scheduler
         self._is_waiting_to_read = False  # until the scheduler's next step
@@ -99,11 +100,15 @@
 
     @property
     def _unsent_bytes(self) -> int:
-        return self._transport.get_write_buffer_size() if self._transport else 0
+        if not self._has_unsent_output or not self._transport:
+            return 0
+        return self._transport.get_write_buffer_size()
 
     @property
     def _is_output_full(self) -> bool:
         """Whether so much output is unsent that no further response may be added."""
+        if not self._has_unsent_output:
+            return False
         return self._unsent_bytes > (0 if self._listener.budget.is_tight else MAX_UNSENT_BYTES)
 
     # Events of the transport.
@@ -139,14 +144,17 @@
         self._note_unread_input(now_ns, is_full=nbytes == self._read_limit)
         self._input.add(bytes(self._listener.read_buffer[:nbytes]), self._reading.read(now_ns))
         self._submit()
-        self._update_reading()  # pauses if the input waits for its turn, as the next read would replace it
+        if self._is_submitted:
+            self._update_reading()  # pauses, as the next read would replace the input that waits for its turn
 
     def pause_writing(self) -> None:
         """Note that the client has not read all responses."""
+        self._has_unsent_output = True
         self._table.unsent[self] = None
 
     def resume_writing(self) -> None:
         """Continue with the next request, as all responses have been sent."""
+        self._has_unsent_output = False
         self._table.unsent.pop(self, None)
         self._update_held()
         self._check_unread_input()
@@ -192,10 +200,12 @@
     def handle_input(self) -> bool:
         """Parse some of the input and start some requests; return whether there is more to do."""
         ends_at = time.monotonic_ns() + STEP_NS
-        while not self._input.is_parsed and time.monotonic_ns() < ends_at:
+        while not self._input.is_parsed:
             self._parse()
-        self._start_requests()
-        has_more = not self._input.is_parsed or self._can_start
+            if time.monotonic_ns() >= ends_at:
+                break
+        can_start_more = self._start_requests()
+        has_more = can_start_more or not self._input.is_parsed
         if not has_more:
             self._is_waiting_to_read = has_more = self._must_wait_to_read()
         self._is_submitted = has_more
@@ -270,15 +280,20 @@
         first = self._input.pipeline.first
         return first is not None and time.monotonic_ns() - first.received_ns > MAX_UNREAD_WAIT_NS
 
-    def _start_requests(self) -> None:
-        """Start received requests in order, up to the first one without an immediate response."""
+    def _start_requests(self) -> bool:
+        """Start received requests in order, up to the first one without an immediate response.
+
+        Returns:
+            Whether more can be started, as there were too many for one step.
+        """
         for _ in range(MAX_STARTED_REQUESTS):
             if not self._can_start:
-                return
+                return False
             if self._input.pipeline:
                 self._start_next()
             else:
                 self._reject(responses.response_to_error(self._input.error_status))
+        return self._can_start
 
     def _start_next(self) -> None:
         """Take the next request from the pipeline, and respond to it or pass it to the proxy."""
--- a/anisespool/listener/pipeline.py
+++ b/anisespool/listener/pipeline.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import NamedTuple
+from typing import NamedTuple, Self
 
 from anisespool.buffer_budget import BufferBudget
 from anisespool.codec.http1.message import Request
@@ -24,11 +24,14 @@
     request: Request
     received_ns: int
     """Time of its arrival, monotonic."""
-
-    @property
-    def size_bytes(self) -> int:
-        """Memory that it takes once it is open."""
-        return REQUEST_OVERHEAD_BYTES + COPIES * (self.request.head_bytes + len(self.request.body))
+    size_bytes: int
+    """Memory that it takes once it is open."""
+
+    @classmethod
+    def of(cls, request: Request, received_ns: int) -> Self:
+        """Return the entry of a request that arrived at `received_ns`."""
+        size_bytes = REQUEST_OVERHEAD_BYTES + COPIES * (request.head_bytes + len(request.body))
+        return cls(request, received_ns, size_bytes)
 
 
 class RequestPipeline:
--- a/anisespool/listener/reading.py
+++ b/anisespool/listener/reading.py
@@ -67,7 +67,7 @@
         if is_full:
             self._full_read_at = now_ns
             return self.has_unread_input
-        is_late = self._loop_delay.earliest_input_at(now_ns) != now_ns
+        is_late = not self._loop_delay.is_on_time(now_ns)
         is_behind = self._arrival is not None and self._arrival.is_behind
         return (is_late or is_behind) and now_ns - self._full_read_at < BACKLOG_READ_NS
 
@@ -90,7 +90,7 @@
             is_last: Whether nothing else follows the request, so that it ends with the last input.
         """
         now_ns = time.monotonic_ns()
-        is_on_time = self._loop_delay.earliest_input_at(now_ns) == now_ns
+        is_on_time = self._loop_delay.is_on_time(now_ns)
         if is_on_time and not self._may_read_late(now_ns):
             return read_at
         sock = self._transport.get_extra_info("socket")
--- a/anisespool/listener/received_input.py
+++ b/anisespool/listener/received_input.py
@@ -110,14 +110,14 @@
         """
         requests = self._parser.feed(self._unparsed[:PARSE_BYTES])
         self._unparsed = NO_INPUT if self._parser.error_status else self._unparsed[PARSE_BYTES:]
-        self._update_held()
         if not requests:
+            self._update_held()
             return
         self._requests_in_read += len(requests)
         is_last = self._requests_in_read == 1 and self.is_parsed and not self._parser.partial
         received_ns = arrival_of(self._arrived_at, is_last)
         for request in requests:
-            self.pipeline.append(PipelinedRequest(request, received_ns))
+            self.pipeline.append(PipelinedRequest.of(request, received_ns))
             self._update_held()
 
     def take_next(self) -> PipelinedRequest | None:
--- a/anisespool/loop_delay.py
+++ b/anisespool/loop_delay.py
@@ -40,6 +40,10 @@
         """Return whether the check is overdue, so that whatever happens now may have waited."""
         return now - self._checked_at > CHECK_INTERVAL_NS + MIN_DELAY_NS
 
+    def is_on_time(self, now: int) -> bool:
+        """Return whether the loop has been on time for long enough that all input is read as it arrives."""
+        return now >= self._delayed_until + BACKLOG_NS and not self.is_overdue(now)
+
     def earliest_event_at(self, handled_at: int) -> int:
         """Return the earliest time at which something may have happened that was handled at `handled_at`.
 
--- a/tests/listener/test_memory_limit.py
+++ b/tests/listener/test_memory_limit.py
@@ -20,7 +20,7 @@
 
 
 def pipelined(body_bytes: int) -> PipelinedRequest:
-    return PipelinedRequest(Request(b"POST", b"/once/1", {}, b"x" * body_bytes, True), 0)
+    return PipelinedRequest.of(Request(b"POST", b"/once/1", {}, b"x" * body_bytes, True), 0)
 
 
 def test_the_budget_is_a_part_of_the_memory_beyond_what_is_reserved() -> None:
--- a/tests/test_loop_delay.py
+++ b/tests/test_loop_delay.py
@@ -17,6 +17,7 @@
 ) -> None:
     loop_delay = LoopDelay(START)
     assert loop_delay.earliest_input_at(now) == earliest_at
+    assert loop_delay.is_on_time(now) is (now == earliest_at)
 
 
 def test_a_check_on_time_reports_no_delay() -> None:
@@ -32,10 +33,13 @@
     assert loop_delay.check_ran(resumed) == SECOND - CHECK_INTERVAL_NS
     assert not loop_delay.is_overdue(resumed + MS)
     assert loop_delay.earliest_input_at(resumed + MS) == START
+    assert not loop_delay.is_on_time(resumed + MS)
     for checks in range(1, 1 + BACKLOG_NS // CHECK_INTERVAL_NS):
         assert loop_delay.check_ran(resumed + checks * CHECK_INTERVAL_NS) == 0
     later = resumed + BACKLOG_NS
+    assert not loop_delay.is_on_time(later - 1)
     assert loop_delay.earliest_input_at(later) == later
+    assert loop_delay.is_on_time(later)
 
 
 def test_an_event_handled_before_the_check_of_a_late_loop_may_have_happened_since_the_one_before() -> None:
