--- a/anisespool/listener/connection.py
+++ b/anisespool/listener/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from http import HTTPStatus
 
@@ -26,6 +27,7 @@
     poll_now,
 )
 from anisespool.proxy.call import FinalResponse
+from anisespool.proxy.exchange import BackstopReason
 
 MIN_QUEUE_WAIT_NS = 1_000_000  # a shorter wait in the pipeline is not subtracted from the client's timeout
 TIGHT_READ_BYTES = 16 * 1024  # limit on a read while connections hold much in memory
@@ -56,7 +58,7 @@
         self._table = table
         self._transport: asyncio.Transport | None = None
         self._reading: Reading | None = None
-        self._input = ReceivedInput(listener.budget)
+        self._input = ReceivedInput(listener.budget, listener.timeout_ns_of)
         self._held = BufferHolder(listener.budget)  # besides the input
         self._has_unsent_output = False
         self._read_limit = 0
@@ -204,6 +206,7 @@
             self._parse()
             if time.monotonic_ns() >= ends_at:
                 break
+        self._limit_open_request()
         can_start_more = self._start_requests()
         has_more = can_start_more or not self._input.is_parsed
         if not has_more:
@@ -330,16 +333,28 @@
         except InvalidRequest as error:
             self._reject(FinalResponse(error.status, f"{error}\n".encode()), request)
             return
-        waited_ns = time.monotonic_ns() - received_ns
+        now_ns = time.monotonic_ns()
+        waited_ns = now_ns - received_ns
         if waited_ns > MIN_QUEUE_WAIT_NS:
             call = call._replace(timeout_ns=call.timeout_ns - waited_ns, queued_ns=waited_ns)
-            if call.timeout_ns <= 0:
-                self._refuse(responses.NO_TIME, request)
-                return
+        is_next_overdue = bool(self._input.pipeline) and self._input.pipeline.responses_due_at() <= now_ns
+        if call.timeout_ns <= 0 or is_next_overdue:
+            self._refuse(responses.NO_TIME, request)
+            return
         proxy = self._listener.proxy
         request_id = proxy.start_request(call, self._respond_and_continue, self._client_has_left)
         if self._has_open_request:
             self._request_id = request_id
+            self._limit_open_request()
+
+    def _limit_open_request(self) -> None:
+        """Have the open request answered before a later one is lost, whose response has to follow."""
+        if not self._request_id or not self._input.pipeline:
+            return
+        due_at = self._input.pipeline.responses_due_at()
+        if due_at < math.inf:
+            proxy = self._listener.proxy
+            proxy.limit_deadline(self._request_id, int(due_at), BackstopReason.NEXT_REQUEST)
 
     def _client_has_left(self) -> bool:
         """Whether the client has ended its output, which may lie unread behind its requests."""
--- a/anisespool/listener/listener_context.py
+++ b/anisespool/listener/listener_context.py
@@ -50,5 +50,8 @@
     scheduler: InputScheduler
     read_buffer: memoryview
 
+    def timeout_ns_of(self, request: http1.Request) -> int | None:
+        """Return how long the client of a request waits for its response; None without a limit."""
+
     def may_read_late(self, now_ns: int) -> bool:
         """Return whether input that is read now may have arrived a while ago, as others came first."""
--- a/anisespool/listener/received_input.py
+++ b/anisespool/listener/received_input.py
@@ -37,9 +37,14 @@
         "pipeline",
     )
 
-    def __init__(self, budget: BufferBudget) -> None:
-        """Begin without input. `budget` limits the requests that are kept, and is told of all input."""
-        self.pipeline = RequestPipeline(budget)
+    def __init__(self, budget: BufferBudget, timeout_ns_of: Callable[[http1.Request], int | None]) -> None:
+        """Begin without input.
+
+        Args:
+            budget: Limits the requests that are kept, and is told of all input.
+            timeout_ns_of: Returns how long a request's client waits for its response; None without a limit.
+        """
+        self.pipeline = RequestPipeline(budget, timeout_ns_of)
         self.has_more_unread = False
         self._parser = http1.RequestParser(http1.MAX_REQUEST_BODY_BYTES, REQUEST_HEADERS)
         self._held = BufferHolder(budget)
--- a/anisespool/listener/request.py
+++ b/anisespool/listener/request.py
@@ -73,12 +73,11 @@
     """
     if request.method not in (b"GET", b"POST"):
         raise MethodNotAllowed("GET and POST are served")
-    segments = [segment for segment in request.target.partition(b"?")[0].split(b"/") if segment]
+    segments = _path_segments(request)
     request_class = _request_class(segments, names)
     class_settings = settings.classes[request_class]
     headers = request.headers
     _check_trace_id_and_idempotency(request, class_settings.idempotency)
-    timeout_ms = _number(headers, b"x-expires-in-ms")
     size_hint_us = _number(headers, b"x-size-hint")
     tenant = names.index_of(names.tenants, headers.get(b"x-customer", b""))
     has_affinity = len(segments) > 1 and (settings.key_affinity or class_settings.in_order)
@@ -86,7 +85,7 @@
         request=request,
         request_class=request_class,
         tenant=len(names.tenants) if tenant is None else tenant,
-        timeout_ns=class_settings.deadline_ns if timeout_ms is None else _timeout_ns(timeout_ms),
+        timeout_ns=_timeout_ns(headers, class_settings.deadline_ns),
         size_hint_ns=None if size_hint_us is None else size_hint_us * 1000,
         # The key is computed only if the class or the settings use it, to save CPU.
         affinity_key=_affinity_key(segments[-1]) if has_affinity else 0,
@@ -94,6 +93,22 @@
     )
 
 
+def timeout_ns_of(request: Request, names: NameIndex, settings: Settings) -> int | None:
+    """Return how long the client of a request waits for its response; None if the request has no timeout.
+
+    A health check has none, nor has a request that will be rejected as invalid.
+    """
+    try:
+        request_class = _request_class(_path_segments(request), names)
+        return _timeout_ns(request.headers, settings.classes[request_class].deadline_ns)
+    except InvalidRequest:
+        return None
+
+
+def _path_segments(request: Request) -> list[bytes]:
+    return [segment for segment in request.target.partition(b"?")[0].split(b"/") if segment]
+
+
 def _request_class(segments: list[bytes], names: NameIndex) -> int:
     """Return the index of the request class that the first segment of the path names.
 
@@ -151,8 +166,15 @@
     return int(value)
 
 
-def _timeout_ns(timeout_ms: int) -> int:
-    """Convert a client's timeout to ns, with `MAX_CLIENT_TIMEOUT_MS` as the upper bound."""
+def _timeout_ns(headers: dict[bytes, bytes], deadline_ns: int) -> int:
+    """Return the client's timeout, at most `MAX_CLIENT_TIMEOUT_MS`; without one its class's deadline.
+
+    Raises:
+        InvalidRequest: The client's timeout is no number.
+    """
+    timeout_ms = _number(headers, b"x-expires-in-ms")
+    if timeout_ms is None:
+        return deadline_ns
     return min(timeout_ms, MAX_CLIENT_TIMEOUT_MS) * 1_000_000
 
 
--- a/anisespool/listener/server.py
+++ b/anisespool/listener/server.py
@@ -8,6 +8,7 @@
 
 from anisespool.balancer import Settings
 from anisespool.buffer_budget import BufferBudget
+from anisespool.codec.http1 import Request
 from anisespool.config.platform import Address, NameIndex
 from anisespool.input_scheduler import InputScheduler
 from anisespool.listener.acceptor import Acceptor
@@ -15,6 +16,7 @@
 from anisespool.listener.connection_table import ConnectionTable
 from anisespool.listener.keepalive import KeepAlivePolicy
 from anisespool.listener.listener_context import RejectionCallback
+from anisespool.listener.request import timeout_ns_of
 from anisespool.listener.timeouts import IDLE_TIMEOUT_S
 from anisespool.listener.tracked_connection import TrackedConnection
 from anisespool.log import EventLimit, log_event
@@ -110,6 +112,10 @@
         """Accept the connections in the backlog, as far as that takes no longer, then close the listener."""
         await self._acceptor.close(timeout_s)
 
+    def timeout_ns_of(self, request: Request) -> int | None:
+        """Return how long the client of a request waits for its response; None without a limit."""
+        return timeout_ns_of(request, self.names, self.settings)
+
     def may_read_late(self, now_ns: int) -> bool:
         """Return whether input that is read now may have arrived a while ago, as others came first."""
         return self.scheduler.is_busy or self._acceptor.is_behind(now_ns)
--- a/anisespool/proxy/exchange.py
+++ b/anisespool/proxy/exchange.py
@@ -6,6 +6,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import StrEnum
 from typing import NamedTuple
 
 from anisespool.balancer.interface import Idempotency, RequestClass
@@ -18,6 +19,17 @@
 NON_RETRYABLE_RESPONSE = FinalResponse(504, b"no answer in time\n")
 
 
+class BackstopReason(StrEnum):
+    """Why a request's time was over when the proxy responded without the balancer."""
+
+    NO_DECISION = "no_decision"
+    """Its client was about to give up."""
+    SHUTDOWN = "shutdown"
+    """The process was about to end."""
+    NEXT_REQUEST = "next_request"
+    """A later request on its connection, which is answered after it, would have been lost."""
+
+
 class Completion(NamedTuple):
     """How and when a request ended, for request records."""
 
@@ -41,6 +53,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     backstop: asyncio.TimerHandle | None = None
     """Timer after which the proxy responds without the balancer."""
+    backstop_reason: BackstopReason = BackstopReason.NO_DECISION
     was_executed: bool = False
     """Whether `may_have_executed` was true when sending was stopped."""
     completion: Completion | None = None
--- a/anisespool/proxy/proxy.py
+++ b/anisespool/proxy/proxy.py
@@ -20,7 +20,7 @@
 from anisespool.proxy.call import Call, FinalResponse
 from anisespool.proxy.deadlines import attempts_end_at, backstop_at
 from anisespool.proxy.endpoint_registry import EndpointRegistry
-from anisespool.proxy.exchange import Exchange
+from anisespool.proxy.exchange import BackstopReason, Exchange
 from anisespool.proxy.executed_ids import ExecutedIds
 from anisespool.proxy.request_log import RequestLog
 from anisespool.upstream.attempt import Attempt
@@ -101,6 +101,8 @@
             client_gives_up_at = min(client_gives_up_at, self._shutdown_deadline_at)
         attempts_end = max(now, attempts_end_at(client_gives_up_at))
         exchange = Exchange(call, attempts_end, send_response, client_has_left)
+        if self._shutdown_deadline_at is not None:
+            exchange.backstop_reason = BackstopReason.SHUTDOWN
         self._exchanges[request_id] = exchange
         exchange.set_backstop(max(now, backstop_at(client_gives_up_at)), self._backstop_expired, request_id)
         self._driver.submit(
@@ -160,11 +162,23 @@
             deadline_at: Time by which each client is assumed to give up (monotonic ns).
         """
         self._shutdown_deadline_at = deadline_at
+        for request_id in self._exchanges:
+            self.limit_deadline(request_id, deadline_at, BackstopReason.SHUTDOWN)
+
+    def limit_deadline(self, request_id: int, deadline_at: int, reason: BackstopReason) -> None:
+        """Respond to an open request before this deadline, if its client would wait longer.
+
+        Args:
+            request_id: The id that `start_request` returned.
+            deadline_at: Time by which the client is assumed to give up (monotonic ns).
+            reason: Why, for the log.
+        """
+        exchange = self._exchanges.get(request_id)
         attempts_end = attempts_end_at(deadline_at)
-        for request_id, exchange in self._exchanges.items():
-            if exchange.send_response and exchange.attempts_end_at > attempts_end:
-                exchange.attempts_end_at = attempts_end
-                exchange.set_backstop(backstop_at(deadline_at), self._backstop_expired, request_id)
+        if exchange and exchange.send_response and exchange.attempts_end_at > attempts_end:
+            exchange.attempts_end_at = attempts_end
+            exchange.backstop_reason = reason
+            exchange.set_backstop(backstop_at(deadline_at), self._backstop_expired, request_id)
 
     @property
     def discovery_contact(self) -> DiscoveryContact:
@@ -312,8 +326,7 @@
         """Respond in place of the balancer, before the client gives up or the process ends."""
         exchange = self._exchanges.get(request_id)
         if exchange and exchange.send_response:
-            reason = "no_decision" if self._shutdown_deadline_at is None else "shutdown"
-            log_event("backstop_response_sent", request=request_id, reason=reason)
+            log_event("backstop_response_sent", request=request_id, reason=exchange.backstop_reason)
             response = exchange.backstop_response(self._classes[exchange.call.request_class])
             exchange.stop_sending()
             self._respond(exchange, response)
--- a/tests/listener/test_memory_limit.py
+++ b/tests/listener/test_memory_limit.py
@@ -23,6 +23,10 @@
     return PipelinedRequest.of(Request(b"POST", b"/once/1", {}, b"x" * body_bytes, True), 0)
 
 
+def no_timeout(request: Request) -> None:
+    """Return that the client of a request waits for any time."""
+
+
 def test_the_budget_is_a_part_of_the_memory_beyond_what_is_reserved() -> None:
     assert BufferBudget.for_memory(RESERVED_BYTES + 30_000_000).limit_bytes == 10_000_000
     assert BufferBudget.for_memory(1).limit_bytes == MIN_LIMIT_BYTES
@@ -39,7 +43,7 @@
 
 
 def test_requests_beyond_the_limit_of_a_connection_are_counted_and_come_last() -> None:
-    pipeline = RequestPipeline(BufferBudget(100 * MAX_PIPELINE_BYTES))
+    pipeline = RequestPipeline(BufferBudget(100 * MAX_PIPELINE_BYTES), no_timeout)
     for _ in range(3):
         pipeline.append(pipelined(MAX_PIPELINE_BYTES // 4))
     pipeline.append(pipelined(0))  # would fit, but an earlier one did not
@@ -51,7 +55,7 @@
 def test_only_the_first_request_of_a_connection_is_kept_where_the_budget_is_used_up() -> None:
     budget = BufferBudget(100)
     budget.used_bytes = 100
-    pipeline = RequestPipeline(budget)
+    pipeline = RequestPipeline(budget, no_timeout)
     for _ in range(2):
         pipeline.append(pipelined(1000))
     assert (len(pipeline), pipeline.rejected_count) == (2, 1)
