--- a/tests/sidecar/test_start.py
+++ b/tests/sidecar/test_start.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 from pathlib import Path
 
@@ -14,6 +15,7 @@
 from anisespool.fakes.endpoint import Endpoint
 from anisespool.fakes.platform import member
 from anisespool.sidecar import Signals, run
+from tests.harness import deploy_file
 from tests.harness.client import request_bytes, send_request
 from tests.harness.platform_config import write_config
 from tests.harness.waiting import wait_until
@@ -61,6 +63,7 @@
         if name == "anisespool.sidecar":
             os.kill(os.getpid(), signal.SIGHUP)
 
+signal.signal(signal.SIGHUP, signal.{disposition})
 sys.meta_path.insert(0, EarlySighup())
 sys.argv = ["anisespool"]
 from anisespool.__main__ import main
@@ -68,19 +71,43 @@
 """
 
 
+@pytest.mark.parametrize("disposition", [signal.SIG_DFL, signal.SIG_IGN])
 async def test_a_sighup_before_the_handlers_are_installed_reloads_the_configuration(
-    tmp_path: Path, listen: str
+    tmp_path: Path, listen: str, disposition: signal.Handlers
 ) -> None:
-    """It killed a process that had just been started."""
+    """It killed a process that had just been started; by the deploy file's command it is ignored at first."""
     old_discovery = ScriptedDiscovery()
     new_discovery = ScriptedDiscovery()
     async with old_discovery.serve(), new_discovery.serve():
         env = write_config(tmp_path, new_discovery.address, [], listen)
         env["LB_DISCOVERY"] = "{}:{}".format(*old_discovery.address)
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-c", PROGRAM_WITH_EARLY_SIGHUP, env=os.environ | env
+            sys.executable,
+            "-c",
+            PROGRAM_WITH_EARLY_SIGHUP.format(disposition=disposition.name),
+            env=os.environ | env,
         )
         await wait_until(lambda: bool(new_discovery.connections) or process.returncode is not None)
         assert process.returncode is None
         process.terminate()
         assert await process.wait() == 0
+
+
+async def test_a_sighup_while_the_interpreter_starts_does_not_end_the_process(
+    tmp_path: Path, listen: str
+) -> None:
+    """It killed a process whose program had not begun to run (soak seed 523)."""
+    discovery = ScriptedDiscovery()
+    interpreter = Path(sys.executable).resolve()
+    async with discovery.serve():
+        env = write_config(tmp_path, discovery.address, [], listen)
+        process = await asyncio.create_subprocess_exec(
+            *deploy_file.run_command(), env=os.environ | env, cwd=deploy_file.ROOT
+        )
+        while Path(f"/proc/{process.pid}/exe").resolve() != interpreter:
+            await asyncio.sleep(0)
+        process.send_signal(signal.SIGHUP)
+        await wait_until(lambda: bool(discovery.connections) or process.returncode is not None)
+        assert process.returncode is None
+        process.terminate()
+        assert await process.wait() == 0
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -5,7 +5,6 @@
 import asyncio
 import os
 import signal
-import sys
 import time
 from contextlib import AsyncExitStack, suppress
 from dataclasses import dataclass, replace
@@ -15,6 +14,7 @@
 from anisespool.fakes import platform
 from anisespool.fakes.discovery import DiscoveryService
 from anisespool.fakes.server import Connection, reset
+from tests.harness import deploy_file
 from tests.harness.client import wait_until_health
 from tests.harness.hostile_clients import hostile_clients
 from tests.harness.process_resources import descriptor_count, peak_memory_mb
@@ -81,7 +81,7 @@
         """
         with self.log_path.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "anisespool", env=os.environ | self.env, stderr=log
+                *deploy_file.run_command(), env=os.environ | self.env, cwd=deploy_file.ROOT, stderr=log
             )
         while True:
             with suppress(OSError, EOFError):
