Test without descriptors: a class whose attempts have no time-out

Cause, by the run's log: the attempt of a repeatable request timed out after some ms, as endpoint and sidecar share the test's loop, which was 52 ms late; its retry needed a descriptor, of which the test leaves none. Twenty ms of sleep in the loop show it in 5 of 5 runs. Change: the requests are of a class that allows no second attempt, with an id each. The assertions are the same. Measured: with the same sleeps 5 of 5 runs pass, and 5 of 5 without them.

--- a/tests/proxy/test_proxy.py
+++ b/tests/proxy/test_proxy.py
@@ -207,8 +207,11 @@
 async def test_without_file_descriptors_connections_wait_and_the_event_loop_does_not_spin(
     tmp_path: Path, capfd: pytest.CaptureFixture[str]
 ) -> None:
+    # The class allows no second attempt. An attempt of a repeatable request times out after some ms, and its
+    # retry would need a descriptor for another connection.
+    first, second, third = (request_bytes("once", f"t{number}") for number in range(3))
     async with Endpoint().serve() as endpoint, running_sidecar(tmp_path, endpoint) as sidecar:
-        assert (await send_request(sidecar.address, request_bytes())).status == 200
+        assert (await send_request(sidecar.address, first)).status == 200
         await asyncio.sleep(REUSE_DELAY_S)  # then the connection to the endpoint can be reused
         reader, writer = await asyncio.open_connection(*sidecar.address)
         client = socket.socket()
@@ -217,14 +220,14 @@
             log = ""
             started_s = monotonic()
             await asyncio.get_running_loop().sock_connect(client, sidecar.address)
-            writer.write(request_bytes())  # open connections are still served
+            writer.write(second)  # open connections are still served
             assert (await read_response(reader)).status == 200
             while log.count("Too many open files") < 3:
                 await asyncio.sleep(0.002)
                 log += capfd.readouterr().err
             assert monotonic() - started_s > 0.05  # the listener paused between its attempts to accept
         reader, writer = await asyncio.open_connection(sock=client)
-        writer.write(request_bytes())
+        writer.write(third)
         assert (await read_response(reader)).status == 200
         writer.close()
 
