Client connection: the open request and the unsent output in modules of their own

Change: OpenRequest and UnsentOutput hold what five fields and three properties did. Behaviour is the same.

--- a/anisespool/listener/connection.py
+++ b/anisespool/listener/connection.py
@@ -15,6 +15,8 @@
 from anisespool.listener.input_arrival import BACKLOG_READ_NS
 from anisespool.listener.keepalive import ReuseHistory
 from anisespool.listener.listener_context import ListenerContext
+from anisespool.listener.open_request import OpenRequest
+from anisespool.listener.output import UnsentOutput
 from anisespool.listener.reading import Reading
 from anisespool.listener.received_input import ReceivedInput
 from anisespool.listener.request import HEALTH_CHECK_PATH, InvalidRequest, validate_request
@@ -34,7 +36,6 @@
 STEP_NS = 200_000  # time to parse in one step; the body of a large request takes less
 MAX_STARTED_REQUESTS = 16  # limit on the requests that are started in one step
 MAX_UNREAD_WAIT_NS = 250_000_000  # a request is rejected if its client is still sending more after this time
-MAX_UNSENT_BYTES = http1.MAX_RESPONSE_BODY_BYTES  # no request is started while more output is unsent
 
 
 class ClientConnection(asyncio.BufferedProtocol):
@@ -60,24 +61,20 @@
         self._reading: Reading | None = None
         self._input = ReceivedInput(listener.budget, listener.timeout_ns_of)
         self._held = BufferHolder(listener.budget)  # besides the input
-        self._has_unsent_output = False
+        self._unsent = UnsentOutput(listener.budget)
         self._read_limit = 0
         self._is_submitted = False  # to the input scheduler
         self._is_waiting_to_read = False  # until the scheduler's next step
         self._idle_before_request_s = 0.0
-        # State of the open request. Its id is 0 until the proxy's `start_request` has returned.
-        self._has_open_request = False
-        self._open_request_bytes = 0
-        self._request_id = 0
+        self._request = OpenRequest()
         self._trace_id = TraceIdReservation(listener.open_trace_ids, listener.proxy)
-        self._keep_alive = True
         self._closing = False
         self._closed_by_policy = False
 
     @property
     def is_idle(self) -> bool:
         """Whether no request is open, pipelined or partly received, and the connection is not closing."""
-        return not (self._closing or self._has_open_request or self._input)
+        return not (self._closing or self._request.is_open or self._input)
 
     @property
     def has_read_input(self) -> bool:
@@ -88,7 +85,7 @@
     def has_pending_response(self) -> bool:
         """Whether a request waits for its response, or a response may not have been sent completely."""
         has_waiting_request = bool(self._input.pipeline) or not self._input.is_parsed
-        return self._closing or self._has_open_request or has_waiting_request
+        return self._closing or self._request.is_open or has_waiting_request
 
     @property
     def has_unread_input(self) -> bool:
@@ -98,20 +95,7 @@
     @property
     def has_unsent_output(self) -> bool:
         """Whether part of a response is in the write buffer, because the client has not read enough."""
-        return self._unsent_bytes > 0
-
-    @property
-    def _unsent_bytes(self) -> int:
-        if not self._has_unsent_output or not self._transport:
-            return 0
-        return self._transport.get_write_buffer_size()
-
-    @property
-    def _is_output_full(self) -> bool:
-        """Whether so much output is unsent that no further response may be added."""
-        if not self._has_unsent_output:
-            return False
-        return self._unsent_bytes > (0 if self._listener.budget.is_tight else MAX_UNSENT_BYTES)
+        return self._unsent.size_bytes > 0
 
     # Events of the transport.
 
@@ -120,7 +104,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._reading = Reading(transport, self._listener.loop_delay, self._listener.may_read_late)
-        transport.set_write_buffer_limits(high=0)  # so that `resume_writing` shows that all output is sent
+        self._unsent.attach(transport)
         self._table.add(self)
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -139,7 +123,7 @@
             self._reading.discard()
             return
         now_ns = time.monotonic_ns()
-        if not self._has_open_request and not self._input:
+        if not self._request.is_open and not self._input:
             now_s = now_ns / 1e9
             self._idle_before_request_s = now_s - self.inactive_since_s
             self.inactive_since_s = now_s
@@ -151,12 +135,12 @@
 
     def pause_writing(self) -> None:
         """Note that the client has not read all responses."""
-        self._has_unsent_output = True
+        self._unsent.exists = True
         self._table.unsent[self] = None
 
     def resume_writing(self) -> None:
         """Continue with the next request, as all responses have been sent."""
-        self._has_unsent_output = False
+        self._unsent.exists = False
         self._table.unsent.pop(self, None)
         self._update_held()
         self._check_unread_input()
@@ -218,7 +202,7 @@
     def _parse(self) -> None:
         assert self._reading
         self._input.parse(self._reading.arrival_of)
-        if self._input.take_expectation() and self._transport and not self._has_open_request:
+        if self._input.take_expectation() and self._transport and not self._request.is_open:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         if self._input.is_partial:
             self._table.mark_receiving(self, self._input.partial_bytes)
@@ -237,7 +221,7 @@
         """Read on, unless input is left to be parsed, or responses to be read by the client."""
         if not self._reading:
             return
-        has_work = not self._input.is_parsed or self._is_waiting_to_read or self._is_output_full
+        has_work = not self._input.is_parsed or self._is_waiting_to_read or self._unsent.is_full
         was_paused = self._reading.is_paused
         self._reading.update(may_read=self._closing or not has_work)
         if self._reading.is_paused and not was_paused:
@@ -247,7 +231,7 @@
 
     def _update_held(self) -> None:
         """Report the memory that the open request and unsent output take; all together may be too much."""
-        self._held.hold(self._open_request_bytes + self._unsent_bytes)
+        self._held.hold(self._request.size_bytes + self._unsent.size_bytes)
         if self._listener.budget.is_exceeded:
             self._table.relieve(self._listener.budget)
 
@@ -263,9 +247,9 @@
         self._input.clear()
         self._table.paused.discard(self)
         self._trace_id.release()
-        if self._has_open_request and self._request_id:
-            self._listener.proxy.client_disconnected(self._request_id)
-            self._end_request()
+        if self._request.is_open and self._request.id:
+            self._listener.proxy.client_disconnected(self._request.id)
+            self._request.end()
         self._update_held()
 
     # Requests and responses.
@@ -273,7 +257,7 @@
     @property
     def _can_start(self) -> bool:
         """Whether the next request can be started now."""
-        if self._closing or self._has_open_request or self._is_output_full:
+        if self._closing or self._request.is_open or self._unsent.is_full:
             return False
         if not self._input.pipeline:
             return bool(self._input.error_status) and self._input.is_parsed
@@ -303,9 +287,7 @@
         is_sending = self._input.must_read_first
         is_out_of_memory = self._listener.budget.is_exceeded
         pipelined = self._input.take_next()
-        self._has_open_request = True
-        self._request_id = 0
-        self._keep_alive = pipelined is None or pipelined.request.keep_alive
+        self._request.begin(keep_alive=pipelined is None or pipelined.request.keep_alive)
         self.has_sent_request = True
         self._table.keep_alive_policy.request_received(self.history, self._idle_before_request_s)
         self._table.mark_active(self)
@@ -314,7 +296,7 @@
         elif is_out_of_memory and pipelined.size_bytes > SMALL_BYTES:
             self._refuse(responses.OUT_OF_MEMORY, pipelined.request)
         else:
-            self._open_request_bytes = pipelined.size_bytes
+            self._request.size_bytes = pipelined.size_bytes
             self._update_held()
             self._start(pipelined.request, pipelined.received_ns)
 
@@ -324,7 +306,7 @@
             self._respond(FinalResponse(200 if self._listener.proxy.ready else 503))
             return
         if self._table.overloaded:
-            self._keep_alive = False
+            self._request.keep_alive = False
             self._refuse(responses.OVERLOADED, request)
             return
         try:
@@ -343,18 +325,18 @@
             return
         proxy = self._listener.proxy
         request_id = proxy.start_request(call, self._respond_and_continue, self._client_has_left)
-        if self._has_open_request:
-            self._request_id = request_id
+        if self._request.is_open:
+            self._request.id = request_id
             self._limit_open_request()
 
     def _limit_open_request(self) -> None:
         """Have the open request answered before a later one is lost, whose response has to follow."""
-        if not self._request_id or not self._input.pipeline:
+        if not self._request.id or not self._input.pipeline:
             return
         due_at = self._input.pipeline.responses_due_at()
         if due_at < math.inf:
             proxy = self._listener.proxy
-            proxy.limit_deadline(self._request_id, int(due_at), BackstopReason.NEXT_REQUEST)
+            proxy.limit_deadline(self._request.id, int(due_at), BackstopReason.NEXT_REQUEST)
 
     def _client_has_left(self) -> bool:
         """Whether the client has ended its output, which may lie unread behind its requests."""
@@ -362,25 +344,21 @@
             return True
         return poll_now(self._transport, PEER_CLOSED_EVENTS)
 
-    def _end_request(self) -> None:
-        self._has_open_request = False
-        self._open_request_bytes = 0
-
     def _respond_and_continue(self, response: FinalResponse) -> None:
         """Send the proxy's response and start the next request."""
         self._respond(response)
-        if self._request_id:  # if 0, `_start_requests` is still running and continues
-            self._request_id = 0
+        if self._request.id:  # if 0, `_start_requests` is still running and continues
+            self._request.id = 0
             if self._input.pipeline or self._input.error_status:
                 self._submit()
 
     def _respond(self, response: FinalResponse) -> None:
         """Send the response to the open request, and close the connection unless it is kept alive."""
-        self._end_request()
+        self._request.end()
         self._trace_id.release()
         if self._closing or not self._transport:
             return
-        close = not (self._keep_alive and self._may_keep_alive())
+        close = not (self._request.keep_alive and self._may_keep_alive())
         self._transport.write(encode_final_response(response, close))
         if close:
             self._closing = True
@@ -415,7 +393,7 @@
         unread input, the kernel would reset it and the client would never read the response. Therefore only
         the output ends, and the client has `LINGER_TIMEOUT_S` (timeouts.py) to close its side.
         """
-        self._end_request()
+        self._request.end()
         self._closing = True
         self._report_rejection(response, request)
         self._input.clear()
