Test of requests that wait: the first has more time, as the others may arrive later

KNOWN-RED had it: three requests at the endpoint in place of two, once beside load. Cause, reproduced: client and sidecar share the test's loop. Where that is 30 ms late between two reads, the client itself writes the rest 30 ms later, so that a third request still had some ms when the second had timed out, and was forwarded rightly. Change: the second request has 600 ms, the others 500 as before; then only a request that got its time anew could be a third.

--- a/tests/proxy/test_proxy.py
+++ b/tests/proxy/test_proxy.py
@@ -257,17 +257,19 @@
     ):
         reader, writer = await asyncio.open_connection(*sidecar.address)
         writer.write(request_bytes("once", "t0"))
-        # More bodies than the sidecar reads at a time, so that the rest waits in the kernel.
-        rest = [request_bytes("once", f"t{n}", left_ms=500, body=b"x" * 60_000) for n in range(1, 9)]
+        # More bodies than the sidecar reads at a time, so that the rest waits in the kernel. The first one has
+        # more time, as the last bytes of the others arrive later if the loop that they share is late.
+        body = b"x" * 60_000
+        rest = [request_bytes("once", f"t{n}", 600 if n == 1 else 500, body) for n in range(1, 9)]
         writer.write(b"".join(rest))
         started_s = monotonic()
         replies = b""
         while replies.count(b"HTTP/1.1 ") < len(rest) + 1:
             replies += await reader.read(65536)
-        assert monotonic() - started_s < 0.5 + DEADLINE_TOLERANCE_S
+        assert monotonic() - started_s < 0.6 + DEADLINE_TOLERANCE_S
         assert len(endpoint.requests) == 2
         told_ms = int(endpoint.requests[1].headers[b"x-expires-in-ms"])
-        assert told_ms <= 200
+        assert told_ms <= 300
         writer.close()
 
 
