--- a/tests/proxy/test_proxy.py
+++ b/tests/proxy/test_proxy.py
@@ -257,8 +257,8 @@
     ):
         reader, writer = await asyncio.open_connection(*sidecar.address)
         writer.write(request_bytes("once", "t0"))
-        # More bodies than the sidecar reads at a time, so that the rest waits in the kernel. The first one has
-        # more time, as the last bytes of the others arrive later if the loop that they share is late.
+        # More bodies than the sidecar reads at a time, so that the rest waits in the kernel. The first has
+        # more time, as the bytes of the others arrive later if the loop is late.
         body = b"x" * 60_000
         rest = [request_bytes("once", f"t{n}", 600 if n == 1 else 500, body) for n in range(1, 9)]
         writer.write(b"".join(rest))
