Backstop: one rule for its reason, as a shutdown's was set in three places

Change: the reason is shutdown once the process shuts down, else next_request if a later request limited the time, else no_decision; limit_deadline has no reason argument. Two tests take SECOND and MS from tests.support. Measured: tests of pipeline deadlines, shutdown, request lifecycle, single responses, discovery and log lines pass.

--- a/anisespool/listener/connection.py
+++ b/anisespool/listener/connection.py
@@ -29,7 +29,6 @@
     poll_now,
 )
 from anisespool.proxy.call import FinalResponse
-from anisespool.proxy.exchange import BackstopReason
 
 MIN_QUEUE_WAIT_NS = 1_000_000  # a shorter wait in the pipeline is not subtracted from the client's timeout
 TIGHT_READ_BYTES = 16 * 1024  # limit on a read while connections hold much in memory
@@ -335,8 +334,7 @@
             return
         due_at = self._input.pipeline.responses_due_at()
         if due_at < math.inf:
-            proxy = self._listener.proxy
-            proxy.limit_deadline(self._request.id, int(due_at), BackstopReason.NEXT_REQUEST)
+            self._listener.proxy.limit_deadline(self._request.id, int(due_at))
 
     def _client_has_left(self) -> bool:
         """Whether the client has ended its output, which may lie unread behind its requests."""
--- a/anisespool/proxy/exchange.py
+++ b/anisespool/proxy/exchange.py
@@ -54,6 +54,7 @@
     backstop: asyncio.TimerHandle | None = None
     """Timer after which the proxy responds without the balancer."""
     backstop_reason: BackstopReason = BackstopReason.NO_DECISION
+    """Reason of the backstop, unless the process shuts down by then."""
     was_executed: bool = False
     """Whether `may_have_executed` was true when sending was stopped."""
     completion: Completion | None = None
--- a/anisespool/proxy/proxy.py
+++ b/anisespool/proxy/proxy.py
@@ -101,8 +101,6 @@
             client_gives_up_at = min(client_gives_up_at, self._shutdown_deadline_at)
         attempts_end = max(now, attempts_end_at(client_gives_up_at))
         exchange = Exchange(call, attempts_end, send_response, client_has_left)
-        if self._shutdown_deadline_at is not None:
-            exchange.backstop_reason = BackstopReason.SHUTDOWN
         self._exchanges[request_id] = exchange
         exchange.set_backstop(max(now, backstop_at(client_gives_up_at)), self._backstop_expired, request_id)
         self._driver.submit(
@@ -163,21 +161,20 @@
         """
         self._shutdown_deadline_at = deadline_at
         for request_id in self._exchanges:
-            self.limit_deadline(request_id, deadline_at, BackstopReason.SHUTDOWN)
+            self.limit_deadline(request_id, deadline_at)
 
-    def limit_deadline(self, request_id: int, deadline_at: int, reason: BackstopReason) -> None:
+    def limit_deadline(self, request_id: int, deadline_at: int) -> None:
         """Respond to an open request before this deadline, if its client would wait longer.
 
         Args:
             request_id: The id that `start_request` returned.
             deadline_at: Time by which the client is assumed to give up (monotonic ns).
-            reason: Why, for the log.
         """
         exchange = self._exchanges.get(request_id)
         attempts_end = attempts_end_at(deadline_at)
         if exchange and exchange.send_response and exchange.attempts_end_at > attempts_end:
             exchange.attempts_end_at = attempts_end
-            exchange.backstop_reason = reason
+            exchange.backstop_reason = BackstopReason.NEXT_REQUEST
             exchange.set_backstop(backstop_at(deadline_at), self._backstop_expired, request_id)
 
     @property
@@ -326,7 +323,9 @@
         """Respond in place of the balancer, before the client gives up or the process ends."""
         exchange = self._exchanges.get(request_id)
         if exchange and exchange.send_response:
-            log_event("backstop_response_sent", request=request_id, reason=exchange.backstop_reason)
+            is_shutdown = self._shutdown_deadline_at is not None
+            reason = BackstopReason.SHUTDOWN if is_shutdown else exchange.backstop_reason
+            log_event("backstop_response_sent", request=request_id, reason=reason)
             response = exchange.backstop_response(self._classes[exchange.call.request_class])
             exchange.stop_sending()
             self._respond(exchange, response)
--- a/tests/discovery/test_drains.py
+++ b/tests/discovery/test_drains.py
@@ -7,8 +7,8 @@
 from anisespool.balancer.interface import EndpointState
 from anisespool.discovery.contact import DiscoveryContact
 from anisespool.discovery.drains import CATCH_UP_NS, DrainTracker, effective_state, leaves_no_ready_endpoint
+from tests.support import SECOND
 
-SECOND = 1_000_000_000
 READY = EndpointState.READY
 DRAINING = EndpointState.DRAINING
 GONE = EndpointState.GONE
--- a/tests/proxy/test_reapply_schedule.py
+++ b/tests/proxy/test_reapply_schedule.py
@@ -5,9 +5,9 @@
 import asyncio
 
 from anisespool.proxy.reapply_schedule import ReapplySchedule
+from tests.support import MS, SECOND
 
-MS = 1_000_000
-HOUR_NS = 3600 * 1000 * MS
+HOUR_NS = 3600 * SECOND
 
 
 async def test_the_earliest_delay_counts_and_a_removed_endpoint_is_forgotten() -> None:
